--- a/include/starlingpond/brain.hpp
+++ b/include/starlingpond/brain.hpp
@@ -156,6 +156,7 @@
     RequestId id{};
     MemberId member{};
     std::optional<Duration> timeout;  // none: until the client gives up
+    std::optional<Time> needs;        // a read: the position that its data must have reached
 };
 struct Cancel {
     RequestId id{};
@@ -164,9 +165,11 @@
 struct Refuse {  // final; promises that trying again is harmless
     RequestId id{};
     std::optional<Duration> retry_after;
+    bool deadline = false;  // because its time is up
 };
 struct Fail {  // final; promises nothing
     RequestId id{};
+    bool deadline = false;
 };
 struct Probe {
     MemberId member{};
--- /dev/null
+++ b/src/adapters/pg_front.hpp
@@ -0,0 +1,25 @@
+// Clients that speak PostgreSQL's protocol.
+#pragma once
+
+#include "adapters/classes.hpp"
+#include "adapters/door.hpp"
+
+namespace indigovane::adapters {
+
+class PgFront : public Door {
+  public:
+    PgFront(boost::asio::io_context& io, const transport::Endpoint& at, std::size_t most,
+            const Classes& classes, routing::Intake& intake, routing::Logger& logger)
+        : Door(io, at, most), io_(io), classes_(classes), intake_(intake), logger_(logger) {}
+
+  protected:
+    std::shared_ptr<Session> open(boost::asio::ip::tcp::socket socket) override;
+
+  private:
+    boost::asio::io_context& io_;
+    const Classes& classes_;
+    routing::Intake& intake_;
+    routing::Logger& logger_;
+};
+
+}  // namespace indigovane::adapters
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -319,7 +319,7 @@
     void on(const Request& q) {
         std::size_t index = std::size_t(q.cls);
         if (index >= classes.size()) {  // an unknown class: nothing is known of it but that it never ran
-            act(Refuse{q.id, std::nullopt});
+            act(Refuse{q.id, std::nullopt, false});
             return;
         }
         Class& c = classes[index];
@@ -764,7 +764,7 @@
             m.backoff = std::min(m.backoff * 2, kTrialMost);
             m.trial_at = now + m.backoff;
         }
-        act(Send{r.id, m.id, std::nullopt});
+        act(Send{r.id, m.id, std::nullopt, needed(r)});
         schedule(r, r.deadline - kAnswerMargin);
     }
 
@@ -826,13 +826,14 @@
         if (set.cancels.value_or(false))
             for (std::size_t i = 0; i < r.attempts.size(); ++i)
                 if (r.attempts[i].fate == Fate::out) act(Cancel{r.id, std::uint32_t(i)});
+        bool late = now >= r.deadline - kAnswerMargin;
         if (harmless) {
             std::optional<Duration> after;
             if (set.retry_after.value_or(false))
                 after = std::min(kRetryAfter, set.longest_retry_after.value_or(kRetryAfter));
-            act(Refuse{r.id, after});
+            act(Refuse{r.id, after, late});
         } else {
-            act(Fail{r.id});
+            act(Fail{r.id, late});
         }
         finish(r);
     }
--- /dev/null
+++ b/src/program/config.cpp
@@ -0,0 +1,181 @@
+#include "program/config.hpp"
+
+#include <cstdlib>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "transport/endpoint.hpp"
+#include "wire/codec.hpp"
+#include "wire/frame.hpp"
+
+namespace indigovane::program {
+
+using nlohmann::json;
+using starlingpond::Consistency;
+
+namespace {
+
+std::string read_file(const std::string& path) {
+    std::ifstream in(path);
+    if (!in) throw ConfigError("can't read '" + path + "'");
+    std::ostringstream text;
+    text << in.rdbuf();
+    return text.str();
+}
+
+json parse(const std::string& text) {
+    try {
+        return json::parse(text);
+    } catch (const json::exception& error) {
+        throw ConfigError(error.what());
+    }
+}
+
+transport::Endpoint endpoint(const std::string& text, const char* what) {
+    auto at = transport::read_endpoint(text);
+    if (!at) throw ConfigError(std::string(what) + ": '" + text + "' is no address with a port");
+    return *at;
+}
+
+// The settings have the form of the simulator's first message, nested: flattened as that message flattens
+// them, they are read by the same code, and a pooler can't come to understand them otherwise.
+void flatten(const json& value, const std::string& path, std::string& out) {
+    if (value.is_object()) {
+        for (const auto& [name, item] : value.items())
+            flatten(item, path.empty() ? name : path + "." + name, out);
+        return;
+    }
+    auto plain = [](const json& v) {
+        std::string text = v.is_string() ? v.get<std::string>() : v.is_null() ? "" : v.dump();
+        for (char& c : text)
+            if (c == ' ' || c == ',') c = '_';
+        return text;
+    };
+    if (value.is_array()) {
+        if (!value.empty() && value[0].is_object()) {
+            out += " " + path + ".count=" + std::to_string(value.size());
+            for (std::size_t i = 0; i < value.size(); ++i)
+                flatten(value[i], path + "." + std::to_string(i), out);
+            return;
+        }
+        std::string joined;
+        for (const json& item : value) joined += (joined.empty() ? "" : ",") + plain(item);
+        out += " " + path + "=" + joined;
+        return;
+    }
+    if (!value.is_null()) out += " " + path + "=" + plain(value);
+}
+
+std::string variable(const char* name) {
+    const char* value = std::getenv(name);
+    return value ? value : "";
+}
+
+std::uint64_t read_seed(const json& value) {
+    if (value.is_number_unsigned()) return value.get<std::uint64_t>();
+    if (!value.is_string()) return 0;
+    return adapters::session_number(value.get<std::string>());
+}
+
+}  // namespace
+
+Config parse_platform_config(const std::string& text) {
+    json root = parse(text);
+    if (!root.is_object()) throw ConfigError("the configuration is no JSON object");
+    Config c;
+    try {
+        c.name = root.value("name", variable("LB_NAME"));
+        c.listen = endpoint(root.value("listen", variable("LB_LISTEN")), "listen");
+        c.discovery = endpoint(root.value("discovery", variable("LB_DISCOVERY")), "discovery");
+        if (root.contains("seed")) c.seed = read_seed(root["seed"]);
+        if (root.contains("limits")) {
+            c.memory_mb = std::size_t(root["limits"].value("memory_mb", 192.0));
+            c.sockets = std::size_t(root["limits"].value("sockets", 1024.0));
+        }
+        const json settings = root.value("settings", json::object());
+        std::string flat = "SETTINGS";
+        flatten(settings, "", flat);
+        starlingpond::wire::Line line(flat);
+        c.settings = starlingpond::wire::read_settings(line);
+        if (settings.contains("azs"))
+            for (const json& zone : settings["azs"]) c.zones.push_back(zone.get<std::string>());
+        if (settings.contains("allowed")) {
+            const json& allowed = settings["allowed"];
+            auto duration = [&](const char* name, routing::Duration& out) {
+                if (allowed.contains(name) && allowed[name].is_number() && allowed[name].get<double>() > 0)
+                    out = routing::Duration(std::int64_t(allowed[name].get<double>() * 1000));
+            };
+            duration("connectTimeoutMs", c.connect_timeout);
+            duration("idleCloseMs", c.idle_limit);
+        }
+        std::vector<adapters::ClassInfo> classes;
+        if (settings.contains("classes")) {
+            const json& list = settings["classes"];
+            for (std::size_t i = 0; i < list.size() && i < c.settings.classes.size(); ++i) {
+                const auto& k = c.settings.classes[i];
+                adapters::ClassInfo info;
+                info.name = list[i].value("name", std::string());
+                info.id = routing::ClassId(std::uint32_t(i));
+                info.deadline = k.deadline.value_or(std::chrono::seconds(1));
+                info.write = k.consistency.value_or(Consistency::write) == Consistency::write;
+                info.session = k.consistency == Consistency::session;
+                c.longest_deadline = std::max(c.longest_deadline, info.deadline);
+                classes.push_back(info);
+            }
+        }
+        c.classes = adapters::Classes(std::move(classes));
+        if (root.contains("known")) c.known = routing::read_member_list(root["known"], c.zones);
+    } catch (const ConfigError&) {
+        throw;
+    } catch (const std::exception& error) {
+        throw ConfigError(error.what());
+    }
+    if (c.sockets < 64) throw ConfigError("limits.sockets: at least 64 are needed");
+    return c;
+}
+
+Config read_platform_config(const std::string& path) {
+    try {
+        return parse_platform_config(read_file(path));
+    } catch (const ConfigError& error) {
+        throw ConfigError(path + ": " + error.what());
+    }
+}
+
+void parse_rest_config(const std::string& text, Config& config) {
+    json root = parse(text);
+    if (!root.is_object()) throw ConfigError("the configuration is no JSON object");
+    try {
+        RestConfig& r = config.rest;
+        r.enabled = root.value("enabled", false);
+        r.listen = endpoint(root.value("listen", std::string("127.0.0.1:8080")), "listen");
+        r.page_size = root.value("page_size", r.page_size);
+        r.page_size_most = root.value("page_size_most", r.page_size_most);
+        r.connections = root.value("connections", r.connections);
+        if (r.page_size == 0 || r.page_size > r.page_size_most || r.page_size_most > 10000)
+            throw ConfigError("page_size: between 1 and page_size_most, which is 10000 at most");
+        std::string members = root.value("members", std::string("pg"));
+        if (members != "pg" && members != "rest") throw ConfigError("members: 'pg' or 'rest'");
+        config.members = members == "rest" ? Wire::rest : Wire::pg;
+        if (root.contains("syslog") && !root["syslog"].is_null()) {
+            auto at = endpoint(root["syslog"].get<std::string>(), "syslog");
+            if (!at.address().is_loopback()) throw ConfigError("syslog: a loopback address is wanted");
+            r.syslog = at;
+        }
+    } catch (const ConfigError&) {
+        throw;
+    } catch (const std::exception& error) {
+        throw ConfigError(error.what());
+    }
+}
+
+void read_rest_config(const std::string& path, Config& config) {
+    try {
+        parse_rest_config(read_file(path), config);
+    } catch (const ConfigError& error) {
+        throw ConfigError(path + ": " + error.what());
+    }
+}
+
+}  // namespace indigovane::program
--- /dev/null
+++ b/src/program/config.hpp
@@ -0,0 +1,53 @@
+// What the program is told: the platform's file and variables, and the files of its own.
+#pragma once
+
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "adapters/classes.hpp"
+#include "routing/catalog.hpp"
+#include "routing/core.hpp"
+#include "starlingpond/brain.hpp"
+#include "transport/connection.hpp"
+
+namespace indigovane::program {
+
+struct ConfigError : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+enum class Wire { pg, rest };
+
+// The REST front's file.
+struct RestConfig {
+    bool enabled = false;
+    transport::Endpoint listen;
+    std::uint32_t page_size = 50, page_size_most = 500;
+    std::size_t connections = 256;
+    std::optional<transport::Endpoint> syslog;  // a collector on this machine
+};
+
+struct Config {
+    std::string name = "indigovane";
+    transport::Endpoint listen, discovery;
+    std::uint64_t seed = 0;
+    std::size_t memory_mb = 192, sockets = 1024;
+    routing::MemberList known;
+    starlingpond::Settings settings;
+    std::vector<std::string> zones;
+    adapters::Classes classes;
+    routing::Duration connect_timeout = std::chrono::milliseconds(250), idle_limit = std::chrono::seconds(30),
+                      longest_deadline{};
+    Wire members = Wire::pg;  // how members are spoken to
+    RestConfig rest;
+};
+
+// Reads $LB_CONFIG's file; LB_NAME, LB_LISTEN and LB_DISCOVERY fill in what it leaves out.
+Config read_platform_config(const std::string& path);
+Config parse_platform_config(const std::string& text);
+void read_rest_config(const std::string& path, Config& config);
+void parse_rest_config(const std::string& text, Config& config);
+
+}  // namespace indigovane::program
--- /dev/null
+++ b/src/program/lifecycle.cpp
@@ -0,0 +1,116 @@
+#include "program/lifecycle.hpp"
+
+#include <csignal>
+
+#include "adapters/pg_backend.hpp"
+#include "adapters/pg_front.hpp"
+
+namespace indigovane::program {
+
+using namespace routing;
+using std::chrono::milliseconds;
+
+namespace {
+// Clients may still come by for so long after the signal: whoever sends them here hears of it late.
+constexpr auto kLinger = milliseconds(500);
+constexpr auto kDrainSlack = milliseconds(150);
+constexpr auto kDrainCheck = milliseconds(5);
+// Descriptors for standard streams, the event loop, the listener, discovery, and sessions that are just
+// coming or going.
+constexpr std::size_t kSpareSockets = 40;
+constexpr double kMemberShare = 0.3;  // of the descriptors
+}  // namespace
+
+const char* name(Phase phase) {
+    switch (phase) {
+        case Phase::starting:
+            return "starting";
+        case Phase::serving:
+            return "serving";
+        case Phase::lingering:
+            return "lingering";
+        case Phase::draining:
+            return "draining";
+        case Phase::stopped:
+            return "stopped";
+    }
+    return "";
+}
+
+Lifecycle::Lifecycle(const Config& config, Log& log)
+    : config_(config), log_(log), signals_(io_), timer_(io_) {}
+
+Lifecycle::~Lifecycle() = default;
+
+void Lifecycle::enter(Phase phase) {
+    phase_ = phase;
+    log_.log(Level::notice, "phase", name(phase), {});
+}
+
+void Lifecycle::start() {
+    signals_.add(SIGTERM);
+    signals_.add(SIGINT);
+    signals_.async_wait([this](const boost::system::error_code& ec, int) {
+        if (!ec) on_signal();
+    });
+    std::size_t usable = config_.sockets - kSpareSockets;
+    CoreLimits limits;
+    limits.connect_timeout = limits.probe_timeout = config_.connect_timeout;
+    limits.idle_limit = config_.idle_limit;
+    limits.links = std::size_t(double(usable) * kMemberShare);
+    std::size_t clients = usable - limits.links;
+    backend_ = std::make_unique<adapters::PgBackend>(io_);
+    core_ = std::make_unique<Core>(io_, clock_, config_.settings, config_.seed, limits, *backend_, log_);
+    catalog_ =
+        std::make_unique<Catalog>(io_, config_.discovery, config_.zones, *core_, log_, Catalog::Timing{});
+    catalog_->seed(config_.known);
+    if (config_.settings.list_mode == starlingpond::ListMode::asked)
+        core_->on_follow_list([this] { catalog_->follow(); });
+    else
+        catalog_->follow();
+    fronts_.push_back(
+        std::make_unique<adapters::PgFront>(io_, config_.listen, clients, config_.classes, *core_, log_));
+    for (auto& front : fronts_) front->start();
+    enter(Phase::serving);
+}
+
+int Lifecycle::run() {
+    start();
+    while (phase_ != Phase::stopped) {
+        io_.run_one();
+        io_.poll();
+        core_->run_batch();
+        if (phase_ == Phase::draining) check_drained();
+        if (io_.stopped()) io_.restart();
+    }
+    return 0;
+}
+
+void Lifecycle::on_signal() {
+    if (phase_ != Phase::serving) return;
+    enter(Phase::lingering);
+    timer_.expires_after(kLinger);
+    timer_.async_wait([this](const boost::system::error_code& ec) {
+        if (ec) return;
+        drain_until_ = clock_.now() + std::max<Duration>(config_.longest_deadline, std::chrono::seconds(1)) +
+                       kDrainSlack;
+        for (auto& front : fronts_) {
+            front->stop_accepting();
+            front->close_idle();
+        }
+        enter(Phase::draining);
+    });
+}
+
+void Lifecycle::check_drained() {
+    bool empty = core_->idle();
+    for (auto& front : fronts_) empty = empty && front->connections() == 0;
+    if (empty || clock_.now() >= drain_until_) {
+        enter(Phase::stopped);
+        return;
+    }
+    timer_.expires_after(kDrainCheck);
+    timer_.async_wait([](const boost::system::error_code&) {});
+}
+
+}  // namespace indigovane::program
--- /dev/null
+++ b/src/program/lifecycle.hpp
@@ -0,0 +1,53 @@
+// The program from start to exit: its phases are named states of this one object.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+#include <vector>
+
+#include "program/config.hpp"
+#include "program/log.hpp"
+#include "routing/catalog.hpp"
+#include "routing/core.hpp"
+
+namespace indigovane::program {
+
+enum class Phase {
+    starting,   // nothing listens yet
+    serving,    // all is as it should be
+    lingering,  // told to stop: still takes in and serves what comes, for a moment
+    draining,   // takes nothing new; finishes what it has
+    stopped
+};
+const char* name(Phase phase);
+
+class Lifecycle {
+  public:
+    Lifecycle(const Config& config, Log& log);
+    ~Lifecycle();
+    int run();  // returns the exit status
+    Phase phase() const { return phase_; }
+
+  private:
+    void start();
+    void enter(Phase phase);
+    void on_signal();
+    void check_drained();
+
+    const Config& config_;
+    Log& log_;
+    boost::asio::io_context io_{1};
+    routing::Clock clock_;
+    Phase phase_ = Phase::starting;
+    std::unique_ptr<routing::Backend> backend_;
+    std::unique_ptr<routing::Core> core_;
+    std::unique_ptr<routing::Catalog> catalog_;
+    std::vector<std::unique_ptr<routing::Front>> fronts_;
+    boost::asio::signal_set signals_;
+    boost::asio::steady_timer timer_;
+    routing::Time drain_until_{};
+};
+
+}  // namespace indigovane::program
--- /dev/null
+++ b/src/program/main.cpp
@@ -0,0 +1,98 @@
+#include <unistd.h>
+
+#include <boost/program_options.hpp>
+#include <csignal>
+#include <cstdio>
+#include <cstdlib>
+#include <iostream>
+
+#include "program/lifecycle.hpp"
+
+namespace {
+
+namespace options = boost::program_options;
+using namespace indigovane;
+
+constexpr const char* kUsage =
+    "usage: indigovane COMMAND [options]\n"
+    "\n"
+    "  serve         serve clients until SIGTERM\n"
+    "  check-config  read the configuration, say what it means, and exit\n"
+    "  version       print the version\n"
+    "  help          print this\n"
+    "\n";
+
+struct UsageError : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+program::Config configure(const std::vector<std::string>& arguments) {
+    const char* from_environment = std::getenv("LB_CONFIG");
+    options::options_description described("options");
+    described.add_options()(
+        "config", options::value<std::string>()->default_value(from_environment ? from_environment : ""),
+        "the platform's configuration; $LB_CONFIG by default")(
+        "rest", options::value<std::string>(),
+        "the REST front's configuration; without it that front is off");
+    options::variables_map values;
+    options::store(options::command_line_parser(arguments).options(described).run(), values);
+    options::notify(values);
+    std::string path = values["config"].as<std::string>();
+    if (path.empty()) throw UsageError("no configuration: give --config FILE or set LB_CONFIG");
+    program::Config config = program::read_platform_config(path);
+    if (values.count("rest")) program::read_rest_config(values["rest"].as<std::string>(), config);
+    return config;
+}
+
+int serve(const std::vector<std::string>& arguments) {
+    program::Config config = configure(arguments);
+    std::signal(SIGPIPE, SIG_IGN);
+    program::Log log(config.name, std::to_string(::getpid()), [](const std::string& line) {
+        std::fputs((line + "\n").c_str(), stdout);
+        std::fflush(stdout);
+    });
+    program::Lifecycle lifecycle(config, log);
+    return lifecycle.run();
+}
+
+int check(const std::vector<std::string>& arguments) {
+    program::Config config = configure(arguments);
+    std::cout << "name       " << config.name << "\nlisten     " << config.listen << "\ndiscovery  "
+              << config.discovery << "\nmembers    " << config.known.members.size() << " known\nclasses    "
+              << config.settings.classes.size() << "\nsockets    " << config.sockets << "\nREST front "
+              << (config.rest.enabled ? "on" : "off") << "\n";
+    return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    std::vector<std::string> arguments(argv + 1, argv + argc);
+    std::string command = arguments.empty() ? "" : arguments.front();
+    if (!arguments.empty()) arguments.erase(arguments.begin());
+    try {
+        if (command == "serve") return serve(arguments);
+        if (command == "check-config") return check(arguments);
+        if (command == "version" || command == "--version") {
+            std::cout << "indigovane " INDIGOVANE_VERSION "\n";
+            return 0;
+        }
+        if (command == "help" || command == "--help") {
+            std::cout << kUsage;
+            return 0;
+        }
+        std::cerr << (command.empty() ? "indigovane: a command is missing\n"
+                                      : "indigovane: unknown command '" + command + "'\n")
+                  << kUsage;
+        return 2;
+    } catch (const options::error& error) {
+        std::cerr << "indigovane " << command << ": " << error.what() << "\n";
+        return 2;
+    } catch (const UsageError& error) {
+        std::cerr << "indigovane " << command << ": " << error.what() << "\n";
+        return 2;
+    } catch (const std::exception& error) {
+        std::cerr << "indigovane " << command << ": " << error.what() << "\n";
+        return 1;
+    }
+}
--- /dev/null
+++ b/src/routing/catalog.cpp
@@ -0,0 +1,153 @@
+#include "routing/catalog.hpp"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+namespace indigovane::routing {
+
+using protocol::http::Next;
+using protocol::http::Response;
+using starlingpond::ListKind;
+using starlingpond::MemberState;
+
+MemberList read_member_list(const nlohmann::json& json, const std::vector<std::string>& zones) {
+    if (!json.is_object() || !json.contains("targets") || !json["targets"].is_array())
+        throw std::runtime_error("no list of members");
+    MemberList list;
+    try {
+        list.revision = json.value("rev", std::int64_t(0));
+        list.all = json.value("all", false);
+        for (const auto& t : json["targets"]) {
+            if (!t.is_object() || !t.contains("uid")) continue;
+            MemberInfo m;
+            m.uid = t.at("uid").get<std::string>();
+            m.endpoint = t.value("endpoint", std::string());
+            auto zone = std::find(zones.begin(), zones.end(), t.value("az", std::string()));
+            m.zone = std::uint32_t(zone - zones.begin());
+            m.group = t.value("pod_group", std::uint32_t(0));
+            std::string state = t.value("state", std::string("ready"));
+            m.state = state == "ready"      ? MemberState::ready
+                      : state == "draining" ? MemberState::draining
+                                            : MemberState::gone;
+            if (t.contains("recovery")) m.primary = t["recovery"] == "off" || t["recovery"] == false;
+            double boot = t.value("boot_ms", 0.0);
+            m.boot_unix_ms = std::int64_t(std::clamp(boot, 0.0, 9e12));
+            list.members.push_back(std::move(m));
+        }
+    } catch (const nlohmann::json::exception& error) {
+        throw std::runtime_error(error.what());
+    }
+    return list;
+}
+
+Catalog::Catalog(boost::asio::io_context& io, const transport::Endpoint& at, std::vector<std::string> zones,
+                 Core& core, Logger& logger, Timing timing)
+    : io_(io),
+      at_(at),
+      zones_(std::move(zones)),
+      core_(core),
+      logger_(logger),
+      timing_(timing),
+      parser_({.head = 16384, .body = 4 << 20}),
+      timer_(io),
+      backoff_(timing.retry) {}
+
+Catalog::~Catalog() {
+    if (connection_) connection_->close();
+}
+
+void Catalog::seed(const MemberList& known) {
+    core_.list(ListKind::cached, known.members);
+}
+
+void Catalog::follow() {
+    if (std::exchange(following_, true) && connection_) return;
+    call();
+}
+
+void Catalog::call() {
+    if (!connection_) {
+        parser_ = protocol::http::Parser({.head = 16384, .body = 4 << 20});
+        connection_ = std::make_shared<transport::Connection>(io_);
+        connection_->limit_unread(5 << 20);
+        connection_->connect(at_, timing_.connect, *this);
+        return;
+    }
+    if (called_ || !connection_->open()) return;
+    called_ = true;
+    std::string target = "/catalog/members";
+    if (revision_)
+        target += "?from=" + std::to_string(*revision_) + "&hold_ms=" + std::to_string(timing_.hold.count());
+    connection_->write(protocol::http::write_request(
+        "GET", target, at_.address().to_string() + ":" + std::to_string(at_.port()), {}));
+    // A silent agent keeps its connection open: only the clock tells.
+    timer_.expires_after(revision_ ? timing_.hold + timing_.slack : timing_.slack);
+    timer_.async_wait([this](const transport::error_code& ec) {
+        if (!ec) lost("no answer");
+    });
+}
+
+void Catalog::lost(const char* why) {
+    logger_.log(Level::warning, "discovery", "the list of members can't be followed now", {{"why", why}});
+    if (connection_) connection_->close();
+    connection_.reset();
+    called_ = false;
+    timer_.expires_after(backoff_);
+    backoff_ = std::min(backoff_ * 2, timing_.retry_most);
+    timer_.async_wait([this](const transport::error_code& ec) {
+        if (!ec) call();
+    });
+}
+
+void Catalog::on_connected() {
+    connection_->established();
+    call();
+}
+
+void Catalog::on_data(transport::Buffer& in) {
+    auto keep = connection_;
+    while (connection_ == keep && !in.empty()) {
+        Response response;
+        std::size_t length = 0;
+        Next next = parser_.response(in.view(), false, response, length);
+        if (next == Next::more) return;
+        if (next != Next::message || !called_) return lost("malformed answer");
+        if (response.status >= 200) {
+            called_ = false;
+            timer_.cancel();
+            take(response);
+        }
+        if (connection_ == keep) in.consume(length);
+    }
+}
+
+void Catalog::on_closed(const transport::error_code& ec) {
+    auto keep = connection_;
+    lost(ec.message().c_str());
+}
+
+void Catalog::take(const Response& response) {
+    if (response.status != 200) return lost("refused");
+    try {
+        MemberList list = read_member_list(nlohmann::json::parse(response.body), zones_);
+        bool first = !revision_;
+        if (list.all || !list.members.empty() || first)
+            core_.list(list.all || first ? ListKind::full : ListKind::changes, list.members);
+        revision_ = list.revision;
+        told_ = true;
+        backoff_ = timing_.retry;
+    } catch (const std::exception& error) {
+        revision_.reset();
+        return lost(error.what());
+    }
+    if (response.keep_alive) {
+        call();
+    } else {
+        connection_->close();
+        connection_.reset();
+        call();
+    }
+}
+
+}  // namespace indigovane::routing
--- /dev/null
+++ b/src/routing/catalog.hpp
@@ -0,0 +1,62 @@
+// Follows discovery's list of members by HTTP: the whole list once, then one watch after the other.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <nlohmann/json_fwd.hpp>
+
+#include "protocol/http.hpp"
+#include "routing/core.hpp"
+#include "transport/connection.hpp"
+
+namespace indigovane::routing {
+
+struct MemberList {
+    std::int64_t revision = 0;
+    bool all = false;
+    std::vector<MemberInfo> members;
+};
+// Throws std::runtime_error on what is no list; entries that name no member are passed over.
+MemberList read_member_list(const nlohmann::json& json, const std::vector<std::string>& zones);
+
+class Catalog : private transport::Connection::Handler {
+  public:
+    struct Timing {
+        // A call is held so long. Short, since a silent connection shows only by the lack of an answer.
+        std::chrono::milliseconds hold{2000};
+        std::chrono::milliseconds slack{1000};  // for the answer after that
+        std::chrono::milliseconds retry{40};    // under the 200 ms in which a watch goes on
+        std::chrono::milliseconds retry_most{160};
+        std::chrono::milliseconds connect{500};
+    };
+    Catalog(boost::asio::io_context& io, const transport::Endpoint& at, std::vector<std::string> zones,
+            Core& core, Logger& logger, Timing timing);
+    ~Catalog();
+
+    void seed(const MemberList& known);  // the list as last held; it may be old
+    void follow();                       // from now on; called again: at once, if a retry is due
+    bool told() const { return told_; }
+
+  private:
+    void call();
+    void lost(const char* why);
+    void take(const protocol::http::Response& response);
+    void on_connected() override;
+    void on_data(transport::Buffer& in) override;
+    void on_closed(const transport::error_code& ec) override;
+
+    boost::asio::io_context& io_;
+    transport::Endpoint at_;
+    std::vector<std::string> zones_;
+    Core& core_;
+    Logger& logger_;
+    Timing timing_;
+    std::shared_ptr<transport::Connection> connection_;
+    protocol::http::Parser parser_;
+    boost::asio::steady_timer timer_;
+    std::chrono::milliseconds backoff_;
+    std::optional<std::int64_t> revision_;  // none: the whole list comes next
+    bool following_ = false, called_ = false, told_ = false;
+};
+
+}  // namespace indigovane::routing
--- /dev/null
+++ b/src/routing/core.cpp
@@ -0,0 +1,350 @@
+#include "routing/core.hpp"
+
+#include <algorithm>
+#include <boost/asio/post.hpp>
+
+namespace indigovane::routing {
+
+using namespace starlingpond;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+constexpr Duration kSweep = seconds(1);  // idle connections are looked at this often
+// Closed this long before the member would: a request that crosses its closing could have run.
+constexpr double kIdleShare = 0.8;
+}  // namespace
+
+Clock::Clock()
+    : offset_(
+          std::chrono::duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch()).count() -
+          now().time_since_epoch().count()) {}
+
+Time Clock::now() const {
+    return Time(std::chrono::duration_cast<Duration>(std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+bool Core::Entry::out() const {
+    return std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.out; });
+}
+
+Core::Core(boost::asio::io_context& io, const Clock& clock, const Settings& settings, std::uint64_t seed,
+           CoreLimits limits, Backend& backend, Logger& logger)
+    : io_(io),
+      clock_(clock),
+      limits_(limits),
+      backend_(backend),
+      logger_(logger),
+      brain_(settings, seed, clock.now()),
+      timer_(io) {}
+
+Core::~Core() = default;
+
+// ---- what comes in -----------------------------------------------------------------------------
+
+RequestId Core::accept(Item item, Responder& responder) {
+    RequestId id{next_request_++};
+    Time now = clock_.now();
+    Request q;
+    q.id = id;
+    q.cls = item.cls;
+    q.group = item.group;
+    q.patience = item.patience;
+    if (item.session) q.session = SessionKey{*item.session};
+    if (item.after_unix_ms)
+        q.since_last_write = std::max(Duration(1), now - clock_.from_unix(*item.after_unix_ms * 1000));
+    q.repeat = item.repeat;
+    Entry& entry = entries_[id];
+    entry.deadline = now + item.patience;
+    entry.item = std::move(item);
+    entry.responder = &responder;
+    inbox_.push_back(q);
+    wake();
+    return id;
+}
+
+void Core::withdraw(RequestId id) {
+    auto it = entries_.find(id);
+    if (it == entries_.end() || !it->second.responder) return;
+    it->second.responder = nullptr;
+    inbox_.push_back(Withdrawn{id});
+    wake();
+    forget_if_done(id);
+}
+
+void Core::list(ListKind kind, const std::vector<MemberInfo>& infos) {
+    List list{kind, {}};
+    std::vector<bool> named(members_.size(), false);
+    for (const MemberInfo& info : infos) {
+        auto [it, fresh] = uids_.try_emplace(info.uid, MemberId(members_.size()));
+        if (fresh) {
+            members_.push_back({});
+            members_.back().pool = std::make_unique<Pool>(
+                it->second, backend_, clock_, limits_.connect_timeout, static_cast<Pool::Owner&>(*this));
+        }
+        std::size_t index = std::size_t(it->second);
+        if (index < named.size()) named[index] = true;
+        Member& m = members_[index];
+        if (!info.endpoint.empty()) m.pool->set_endpoint(info.endpoint);
+        std::string endpoint = info.endpoint.empty() ? m.info.endpoint : info.endpoint;
+        m.info = info;
+        m.info.endpoint = endpoint;
+        m.refused_new = info.state != MemberState::ready;
+        if (m.refused_new) m.pool->close_idle(Time::max());
+        ListEntry e;
+        e.member = it->second;
+        e.group = GroupId{info.group};
+        e.zone = ZoneId{info.zone};
+        e.state = info.state;
+        e.primary = info.primary;
+        if (info.boot_unix_ms != 0) e.started = clock_.from_unix(info.boot_unix_ms * 1000);
+        list.entries.push_back(e);
+    }
+    if (kind != ListKind::changes && kind != ListKind::failed)
+        for (std::size_t i = 0; i < named.size(); ++i)
+            if (!named[i]) {
+                members_[i].refused_new = true;
+                members_[i].pool->close_idle(Time::max());
+            }
+    inbox_.push_back(std::move(list));
+    wake();
+}
+
+void Core::on_job_end(Pool& pool, const Job& job, Result result) {
+    Time now = clock_.now();
+    Report report = result.report;
+    if (result.report_position_unix_us) report.position = clock_.from_unix(*result.report_position_unix_us);
+    Member& m = members_[std::size_t(pool.member())];
+    if (job.probe) {
+        if (!m.probe || !m.probe->same(job)) return;
+        m.probe.reset();
+        inbox_.push_back(ProbeResult{pool.member(), result.status, now - job.sent, report});
+        wake();
+        return;
+    }
+    auto it = entries_.find(job.id);
+    if (it == entries_.end()) return;
+    Entry& entry = it->second;
+    entry.attempts.at(job.number).out = false;
+    if (result.status == Status::ok && entry.responder) {
+        // The first answer goes to the client by itself and ends the request.
+        Responder* responder = std::exchange(entry.responder, nullptr);
+        responder->served(result.answer);
+    }
+    Outcome o;
+    o.id = job.id;
+    o.attempt = job.number;
+    o.member = pool.member();
+    o.status = result.status;
+    o.latency = now - job.sent;
+    o.finished = !entry.responder;
+    o.role = result.role;
+    if (result.position_unix_us) o.position = clock_.from_unix(*result.position_unix_us);
+    o.report = report;
+    inbox_.push_back(o);
+    wake();
+    forget_if_done(job.id);
+}
+
+const Item* Core::may_start(const Pool& pool, const Job& job) {
+    auto it = entries_.find(job.id);
+    if (it == entries_.end() || !it->second.responder) return nullptr;
+    if (members_[std::size_t(pool.member())].refused_new || clock_.now() >= job.until) return nullptr;
+    return &it->second.item;
+}
+
+bool Core::may_open() {
+    if (links_ >= limits_.links) {
+        // All descriptors for members are taken: the connection that has stood idle longest gives way.
+        Member* oldest = nullptr;
+        for (Member& m : members_) {
+            auto since = m.pool->oldest_idle();
+            if (since && (!oldest || *since < *oldest->pool->oldest_idle())) oldest = &m;
+        }
+        if (!oldest) {
+            starved_ = true;
+            return false;
+        }
+        oldest->pool->close_oldest_idle();
+    }
+    ++links_;
+    return true;
+}
+
+void Core::on_link_gone() {
+    --links_;
+    if (std::exchange(starved_, false))
+        boost::asio::post(io_, [this] {
+            for (Member& m : members_) m.pool->serve_waiting();
+        });
+}
+
+// ---- the batch ---------------------------------------------------------------------------------
+
+void Core::run_batch() {
+    woken_ = false;
+    Time now = clock_.now();
+    collect_due(now);
+    if (now >= swept_ + kSweep) {
+        swept_ = now;
+        auto limit = Duration(std::int64_t(double(limits_.idle_limit.count()) * kIdleShare));
+        for (Member& m : members_) m.pool->close_idle(now - limit);
+    }
+    std::vector<Event> batch;
+    std::swap(batch, inbox_);
+    std::vector<RequestId> told = std::exchange(done_, {});
+    Actions actions;
+    for (const Event& event : batch) brain_.handle(now, event, actions);
+    for (const Action& action : actions) carry_out(action);
+    // What was over before this batch is known to the module by now and may be forgotten. Not sooner: an
+    // action that crosses the end of its request must still find its attempts numbered as the module does.
+    for (RequestId id : told) {
+        auto it = entries_.find(id);
+        if (it != entries_.end() && !it->second.responder && !it->second.out()) entries_.erase(it);
+    }
+    if (!done_.empty()) wake();
+    arm();
+}
+
+void Core::carry_out(const Action& action) {
+    std::visit([this](const auto& a) { act(a); }, action);
+}
+
+Core::Member* Core::member(MemberId id) {
+    return std::size_t(id) < members_.size() ? &members_[std::size_t(id)] : nullptr;
+}
+
+void Core::act(const Send& send) {
+    auto it = entries_.find(send.id);
+    Member* m = member(send.member);
+    if (it == entries_.end() || !m) return;  // the module knows no such thing
+    Entry& entry = it->second;
+    Job job;
+    job.id = send.id;
+    job.number = std::uint32_t(entry.attempts.size());
+    job.sent = clock_.now();
+    job.until = send.timeout ? std::min(entry.deadline, job.sent + *send.timeout) : entry.deadline;
+    if (send.needs) job.needs = clock_.to_unix(*send.needs) / 1000;
+    bool second = entry.out();
+    entry.attempts.push_back({job, send.member, true});
+    if (second || !entry.responder) {
+        // Guards the rule that no two attempts of a request are out at once, whatever the module says.
+        if (second) logger_.log(Level::error, "second-copy", "the module sent a second copy; held back");
+        Result moot;
+        moot.status = Status::moot;
+        on_job_end(*m->pool, job, std::move(moot));
+        return;
+    }
+    set_alarm({job.until, 0, Alarm::Kind::job, {}, send.member, job});
+    m->pool->submit(job);
+}
+
+void Core::act(const Cancel& cancel) {
+    auto it = entries_.find(cancel.id);
+    if (it == entries_.end() || cancel.attempt >= it->second.attempts.size()) return;
+    Attempt attempt = it->second.attempts[cancel.attempt];
+    Pool& pool = *members_[std::size_t(attempt.member)].pool;
+    if (!attempt.out || pool.give_up(attempt.job) == Pool::Given::none) return;
+    Result result;
+    result.status = Status::cancelled;
+    on_job_end(pool, attempt.job, std::move(result));
+    pool.serve_waiting();
+}
+
+void Core::act(const Refuse& refuse) {
+    finish(refuse.id, {Ending::Kind::refused, refuse.deadline, refuse.retry_after});
+}
+void Core::act(const Fail& fail) {
+    finish(fail.id, {Ending::Kind::failed, fail.deadline, std::nullopt});
+}
+
+void Core::finish(RequestId id, const Ending& ending) {
+    auto it = entries_.find(id);
+    if (it == entries_.end() || !it->second.responder) return;
+    Responder* responder = std::exchange(it->second.responder, nullptr);
+    responder->ended(ending);
+    forget_if_done(id);
+}
+
+void Core::forget_if_done(RequestId id) {
+    auto it = entries_.find(id);
+    if (it != entries_.end() && !it->second.responder && !it->second.out()) done_.push_back(id);
+}
+
+void Core::act(const Probe& probe) {
+    Member* m = member(probe.member);
+    if (!m || m->probe) return;
+    Job job;
+    job.probe = true;
+    job.number = m->probes++;
+    job.sent = clock_.now();
+    job.until = job.sent + limits_.probe_timeout;
+    m->probe = job;
+    set_alarm({job.until, 0, Alarm::Kind::job, {}, probe.member, job});
+    m->pool->submit(job);
+}
+
+void Core::act(const SetTimer& timer) {
+    set_alarm({clock_.now() + timer.delay, 0, Alarm::Kind::module, timer.id, {}, {}});
+}
+void Core::act(const FollowList&) {
+    if (follow_) follow_();
+}
+void Core::act(const Log& line) {
+    logger_.log(Level::notice, "module", line.text);
+}
+
+// ---- alarms ------------------------------------------------------------------------------------
+
+void Core::set_alarm(Alarm alarm) {
+    alarm.order = next_alarm_++;
+    alarms_.push(alarm);
+}
+
+void Core::collect_due(Time now) {
+    while (!alarms_.empty() && alarms_.top().at <= now) {
+        Alarm alarm = alarms_.top();
+        alarms_.pop();
+        ring(alarm);
+    }
+}
+
+void Core::ring(const Alarm& alarm) {
+    if (alarm.kind == Alarm::Kind::module) {
+        inbox_.push_back(Timer{alarm.timer});
+        return;
+    }
+    Pool& pool = *members_[std::size_t(alarm.member)].pool;
+    Pool::Given given = pool.give_up(alarm.job);
+    if (given == Pool::Given::none) return;
+    Result result;
+    // What never got a connection never ran.
+    result.status = given == Pool::Given::out ? Status::timeout
+                    : alarm.job.probe         ? Status::unreachable
+                                              : Status::moot;
+    on_job_end(pool, alarm.job, std::move(result));
+    pool.serve_waiting();
+}
+
+void Core::wake() {
+    if (std::exchange(woken_, true)) return;
+    boost::asio::post(io_, [] {});  // the loop runs a batch after whatever is ready
+}
+
+void Core::arm() {
+    std::optional<Time> next;
+    if (!alarms_.empty()) next = alarms_.top().at;
+    if (links_ > 0) next = std::min(next.value_or(Time::max()), swept_ + kSweep);
+    if (next == armed_) return;
+    armed_ = next;
+    if (!next) {
+        timer_.cancel();
+        return;
+    }
+    timer_.expires_after(std::max(Duration::zero(), *next - clock_.now()));
+    timer_.async_wait([this](const boost::system::error_code& ec) {
+        if (!ec) armed_.reset();
+    });
+}
+
+}  // namespace indigovane::routing
--- /dev/null
+++ b/src/routing/core.hpp
@@ -0,0 +1,116 @@
+// The core: owns requests, attempts, members and timers, and is the only caller of the decision module.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <map>
+#include <queue>
+#include <unordered_map>
+
+#include "routing/interfaces.hpp"
+#include "routing/pool.hpp"
+
+namespace indigovane::routing {
+
+struct CoreLimits {
+    Duration connect_timeout = std::chrono::milliseconds(250);
+    Duration probe_timeout = std::chrono::milliseconds(250);
+    Duration idle_limit = std::chrono::seconds(30);  // members close a connection that stood idle so long
+    std::size_t links = 256;                         // connections to members, all together
+};
+
+class Core : public Intake, private Pool::Owner {
+  public:
+    Core(boost::asio::io_context& io, const Clock& clock, const starlingpond::Settings& settings,
+         std::uint64_t seed, CoreLimits limits, Backend& backend, Logger& logger);
+    ~Core();
+
+    RequestId accept(Item item, Responder& responder) override;
+    void withdraw(RequestId id) override;
+    void list(starlingpond::ListKind kind, const std::vector<MemberInfo>& members);
+    void on_follow_list(std::function<void()> follow) { follow_ = std::move(follow); }
+
+    // Hands everything that has come in since the last batch to the module in one go, then carries out what
+    // came back. Nothing that an action brings about is seen before the next batch.
+    void run_batch();
+
+    bool idle() const { return entries_.empty(); }
+    std::size_t requests() const { return entries_.size(); }
+    std::size_t links() const { return links_; }
+
+  private:
+    struct Attempt {
+        Job job;
+        MemberId member{};
+        bool out = true;
+    };
+    struct Entry {
+        Item item;
+        Responder* responder = nullptr;  // none: the request has its final answer, or its client is gone
+        Time deadline{};
+        std::vector<Attempt> attempts;
+        bool out() const;
+    };
+    struct Member {
+        std::unique_ptr<Pool> pool;
+        MemberInfo info;
+        bool refused_new = false;  // drains or is gone
+        std::uint32_t probes = 0;
+        std::optional<Job> probe;
+    };
+    struct Alarm {
+        Time at;
+        std::uint64_t order;
+        enum class Kind { module, job } kind;
+        starlingpond::TimerId timer{};
+        MemberId member{};
+        Job job{};
+        bool operator>(const Alarm& o) const { return at != o.at ? at > o.at : order > o.order; }
+    };
+
+    void on_job_end(Pool& pool, const Job& job, Result result) override;
+    const Item* may_start(const Pool& pool, const Job& job) override;
+    bool may_open() override;
+    void on_link_gone() override;
+
+    void carry_out(const starlingpond::Action& action);
+    void act(const starlingpond::Send& send);
+    void act(const starlingpond::Cancel& cancel);
+    void act(const starlingpond::Refuse& refuse);
+    void act(const starlingpond::Fail& fail);
+    void act(const starlingpond::Probe& probe);
+    void act(const starlingpond::SetTimer& timer);
+    void act(const starlingpond::FollowList&);
+    void act(const starlingpond::Log& line);
+
+    void finish(RequestId id, const Ending& ending);
+    void forget_if_done(RequestId id);
+    void set_alarm(Alarm alarm);
+    void collect_due(Time now);
+    void ring(const Alarm& alarm);
+    void wake();
+    void arm();
+    Member* member(MemberId id);
+
+    boost::asio::io_context& io_;
+    const Clock& clock_;
+    CoreLimits limits_;
+    Backend& backend_;
+    Logger& logger_;
+    starlingpond::Brain brain_;
+    std::function<void()> follow_;
+    std::vector<starlingpond::Event> inbox_;
+    std::unordered_map<RequestId, Entry> entries_;
+    std::vector<RequestId> done_;  // over, but the module may not have heard
+    std::map<std::string, MemberId> uids_;
+    std::vector<Member> members_;  // by MemberId
+    std::priority_queue<Alarm, std::vector<Alarm>, std::greater<>> alarms_;
+    std::uint64_t next_request_ = 1, next_alarm_ = 0;
+    boost::asio::steady_timer timer_;
+    std::optional<Time> armed_;
+    Time swept_{};
+    std::size_t links_ = 0;
+    bool woken_ = false, starved_ = false;
+};
+
+}  // namespace indigovane::routing
--- /dev/null
+++ b/src/routing/interfaces.hpp
@@ -0,0 +1,77 @@
+// What stands between the core and the wires.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "routing/types.hpp"
+
+namespace indigovane::routing {
+
+// A connection to a member. It carries one job at a time.
+class Link {
+  public:
+    // How a link that nobody closed came to its end.
+    enum class End {
+        unreachable,  // it never came up
+        turned_away,  // the member said that it has no room
+        unwritten,    // it broke before the last byte of its job was written
+        written,      // it broke after that: the job may have run
+    };
+    class Owner {
+      public:
+        virtual void on_ready(Link& link) = 0;  // it came up
+        virtual void on_result(Link& link, Result result) = 0;
+        virtual void on_end(Link& link, End end) = 0;
+
+      protected:
+        ~Owner() = default;
+    };
+
+    virtual ~Link() = default;
+    // `remaining`: how long the answer is waited for. `needs`: the position, a Unix time in milliseconds,
+    // that the answer's data must have reached.
+    virtual void submit(const Item& item, Duration remaining, std::optional<std::int64_t> needs) = 0;
+    virtual void probe() = 0;
+    virtual void close() = 0;  // at once; the owner hears nothing more
+};
+
+class Backend {
+  public:
+    virtual ~Backend() = default;
+    // Starts to connect. The owner outlives the link, or closes it.
+    virtual std::shared_ptr<Link> open(const std::string& endpoint, Duration timeout, Link::Owner& owner) = 0;
+};
+
+// Where clients come in.
+class Front {
+  public:
+    virtual ~Front() = default;
+    virtual void start() = 0;
+    virtual void stop_accepting() = 0;  // what the machine has accepted is still taken in
+    virtual void close_idle() = 0;      // closes between requests, now and from now on
+    virtual std::size_t connections() const = 0;
+};
+
+// The core's side of a front.
+class Intake {
+  public:
+    virtual RequestId accept(Item item, Responder& responder) = 0;
+    virtual void withdraw(RequestId id) = 0;  // the client has gone: the responder hears nothing more
+
+  protected:
+    ~Intake() = default;
+};
+
+// Lines for the operators.
+enum class Level { error, warning, notice, info };
+class Logger {
+  public:
+    using Data = std::vector<std::pair<std::string, std::string>>;
+    virtual void log(Level level, const char* id, const std::string& text, const Data& data = {}) = 0;
+
+  protected:
+    ~Logger() = default;
+};
+
+}  // namespace indigovane::routing
--- /dev/null
+++ b/src/routing/pool.cpp
@@ -0,0 +1,157 @@
+#include "routing/pool.hpp"
+
+#include <algorithm>
+
+namespace indigovane::routing {
+
+using starlingpond::Status;
+
+namespace {
+Result ended(Status status) {
+    Result result;
+    result.status = status;
+    result.reusable = false;
+    return result;
+}
+}  // namespace
+
+Pool::Pool(MemberId member, Backend& backend, const Clock& clock, Duration connect_timeout, Owner& owner)
+    : member_(member), backend_(backend), clock_(clock), connect_timeout_(connect_timeout), owner_(owner) {}
+
+Pool::~Pool() {
+    for (Entry& e : links_) e.link->close();
+}
+
+void Pool::set_endpoint(const std::string& endpoint) {
+    if (endpoint == endpoint_) return;
+    endpoint_ = endpoint;
+    while (close_oldest_idle()) {
+    }
+}
+
+void Pool::submit(const Job& job) {
+    waiting_.push_back(job);
+    serve_waiting();
+}
+
+void Pool::serve_waiting() {
+    while (!waiting_.empty() && !idle_.empty()) {
+        auto entry = idle_.back();
+        idle_.pop_back();
+        put_to_use(entry);
+    }
+    open_for_waiting();
+}
+
+void Pool::open_for_waiting() {
+    while (connecting_ < waiting_.size() && owner_.may_open()) {
+        ++connecting_;
+        links_.push_back({backend_.open(endpoint_, connect_timeout_, *this), false, std::nullopt, {}});
+    }
+}
+
+// Gives the link the oldest job that may still start; with none left it is idle.
+void Pool::put_to_use(Entries::iterator entry) {
+    while (!waiting_.empty()) {
+        Job job = waiting_.front();
+        waiting_.pop_front();
+        if (job.probe) {
+            entry->job = job;
+            entry->link->probe();
+            return;
+        }
+        const Item* item = owner_.may_start(*this, job);
+        if (!item) {
+            owner_.on_job_end(*this, job, ended(Status::moot));
+            continue;
+        }
+        entry->job = job;
+        entry->link->submit(*item, job.until - clock_.now(), job.needs);
+        return;
+    }
+    entry->idle_since = clock_.now();
+    idle_.push_back(entry);
+}
+
+Pool::Given Pool::give_up(const Job& job) {
+    auto w = std::find_if(waiting_.begin(), waiting_.end(), [&](const Job& j) { return j.same(job); });
+    if (w != waiting_.end()) {
+        waiting_.erase(w);
+        return Given::waiting;
+    }
+    auto e =
+        std::find_if(links_.begin(), links_.end(), [&](const Entry& x) { return x.job && x.job->same(job); });
+    if (e == links_.end()) return Given::none;
+    drop(e);
+    return Given::out;
+}
+
+void Pool::close_idle(Time idle_since_before) {
+    while (!idle_.empty() && idle_.front()->idle_since < idle_since_before) close_oldest_idle();
+}
+
+bool Pool::close_oldest_idle() {
+    if (idle_.empty()) return false;
+    auto entry = idle_.front();
+    drop(entry);
+    return true;
+}
+
+std::optional<Time> Pool::oldest_idle() const {
+    if (idle_.empty()) return std::nullopt;
+    return idle_.front()->idle_since;
+}
+
+Pool::Entries::iterator Pool::find(const Link& link) {
+    return std::find_if(links_.begin(), links_.end(), [&](const Entry& e) { return e.link.get() == &link; });
+}
+
+void Pool::drop(Entries::iterator entry) {
+    if (!entry->up) --connecting_;
+    std::erase(idle_, entry);
+    entry->link->close();
+    links_.erase(entry);
+    owner_.on_link_gone();
+}
+
+void Pool::on_ready(Link& link) {
+    auto entry = find(link);
+    if (entry == links_.end()) return;
+    entry->up = true;
+    --connecting_;
+    put_to_use(entry);
+}
+
+void Pool::on_result(Link& link, Result result) {
+    auto entry = find(link);
+    if (entry == links_.end() || !entry->job) return;
+    Job job = *entry->job;
+    entry->job.reset();
+    if (result.reusable)
+        put_to_use(entry);
+    else
+        drop(entry);
+    owner_.on_job_end(*this, job, std::move(result));
+    serve_waiting();
+}
+
+void Pool::on_end(Link& link, Link::End end) {
+    auto entry = find(link);
+    if (entry == links_.end()) return;
+    std::optional<Job> job = entry->job;
+    // A link that never came up takes the oldest waiting job with it: one link was opened for each.
+    if (!entry->up && !job && waiting_.size() >= connecting_) {
+        job = waiting_.front();
+        waiting_.pop_front();
+    }
+    drop(entry);
+    if (job) {
+        Status status = end == Link::End::turned_away ? Status::full
+                        : end == Link::End::written   ? Status::reset
+                                                      : Status::unreachable;
+        owner_.on_job_end(*this, *job, ended(status));
+    }
+    serve_waiting();
+}
+
+}  // namespace indigovane::routing
--- /dev/null
+++ b/src/routing/pool.hpp
@@ -0,0 +1,89 @@
+// The connections to one member, and the jobs that wait for one.
+#pragma once
+
+#include <deque>
+#include <list>
+#include <memory>
+#include <optional>
+#include <vector>
+
+#include "routing/interfaces.hpp"
+
+namespace indigovane::routing {
+
+// An attempt or a probe, from the module's action to its outcome.
+struct Job {
+    bool probe = false;
+    RequestId id{};
+    std::uint32_t number = 0;  // of the attempt; of the probe
+    Time sent{}, until{};
+    std::optional<std::int64_t> needs;
+
+    bool same(const Job& o) const { return probe == o.probe && id == o.id && number == o.number; }
+};
+
+class Pool : private Link::Owner {
+  public:
+    class Owner {
+      public:
+        virtual void on_job_end(Pool& pool, const Job& job, Result result) = 0;
+        // Looked at again right before the first byte: a job that waited for a connection may have been
+        // cancelled by then, its time may be up, or the member may drain. Nothing: it may not start.
+        virtual const Item* may_start(const Pool& pool, const Job& job) = 0;
+        virtual bool may_open() = 0;  // counts a link that is to be opened
+        virtual void on_link_gone() = 0;
+
+      protected:
+        ~Owner() = default;
+    };
+
+    Pool(MemberId member, Backend& backend, const Clock& clock, Duration connect_timeout, Owner& owner);
+    ~Pool();
+    Pool(const Pool&) = delete;
+    Pool& operator=(const Pool&) = delete;
+
+    MemberId member() const { return member_; }
+    void set_endpoint(const std::string& endpoint);
+
+    void submit(const Job& job);
+    // Ends a job's wait. Its connection, if it has one, is closed first: nothing of it is out afterwards.
+    enum class Given { none, waiting, out };  // what it was: not here, without a connection, or on one
+    Given give_up(const Job& job);
+    void close_idle(Time idle_since_before);
+    bool close_oldest_idle();
+    std::optional<Time> oldest_idle() const;
+    std::size_t links() const { return links_.size(); }
+    std::size_t idle() const { return idle_.size(); }
+    void serve_waiting();  // room for another link may have come up
+
+  private:
+    struct Entry {
+        std::shared_ptr<Link> link;
+        bool up = false;
+        std::optional<Job> job;
+        Time idle_since{};
+    };
+    using Entries = std::list<Entry>;
+
+    void on_ready(Link& link) override;
+    void on_result(Link& link, Result result) override;
+    void on_end(Link& link, Link::End end) override;
+
+    Entries::iterator find(const Link& link);
+    void put_to_use(Entries::iterator entry);
+    void drop(Entries::iterator entry);
+    void open_for_waiting();
+
+    MemberId member_;
+    Backend& backend_;
+    const Clock& clock_;
+    Duration connect_timeout_;
+    Owner& owner_;
+    std::string endpoint_;
+    Entries links_;
+    std::vector<Entries::iterator> idle_;  // the newest last, which is used first
+    std::deque<Job> waiting_;              // the oldest first
+    std::size_t connecting_ = 0;
+};
+
+}  // namespace indigovane::routing
--- /dev/null
+++ b/src/routing/types.hpp
@@ -0,0 +1,108 @@
+// What the core deals in: items, answers and how an attempt ended. No wire is known here.
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "starlingpond/brain.hpp"
+
+namespace indigovane::routing {
+
+using starlingpond::ClassId;
+using starlingpond::Duration;
+using starlingpond::GroupId;
+using starlingpond::MemberId;
+using starlingpond::RequestId;
+using starlingpond::Time;
+
+// The module's time is the steady clock's. Positions come as Unix times; one offset, taken when the program
+// starts, converts them, so that a step of the wall clock moves no position against another.
+class Clock {
+  public:
+    Clock();
+    Time now() const;
+    Time from_unix(std::int64_t micros) const { return Time(Duration(micros - offset_)); }
+    std::int64_t to_unix(Time t) const { return t.time_since_epoch().count() + offset_; }
+
+  private:
+    std::int64_t offset_;  // Unix less steady, in microseconds
+};
+
+// One thing that a client asks for. A front fills in what its wire tells.
+struct Item {
+    enum class Verb { lookup, write, page, other };
+    Verb verb = Verb::other;
+    std::string name;                    // the row looked up or written; a page begins after it
+    std::optional<std::string> content;  // written
+    std::optional<std::string> prefix;   // a page's rows begin with it
+    std::uint32_t limit = 0;             // rows of a page at most
+
+    std::string id, tenant, key;  // the client's id, its tenant, its idempotency key
+    std::string class_name;
+    ClassId cls{};
+    GroupId group{};
+    std::optional<std::uint64_t> session;
+    std::optional<std::int64_t> after_unix_ms;  // a carried token: the session's last commit
+    Duration patience{};
+    bool repeat = false;
+    std::string statement;  // as the client wrote it, where its wire has statements
+};
+
+struct Row {
+    std::string name;  // empty where the answer does not tell it
+    std::string content;
+    bool operator==(const Row&) const = default;
+};
+
+// What a member made for an item.
+struct Answer {
+    std::vector<Row> rows;
+    bool binary = true;                            // a single value: bytes as they are, or bytea's text form
+    std::string column;                            // its column's name
+    std::string tag;                               // of a statement's completion
+    std::optional<std::int64_t> position_unix_ms;  // how current it is
+};
+
+// The final word on an item that was not served.
+struct Ending {
+    enum class Kind { refused, failed } kind = Kind::refused;
+    bool deadline = false;  // because its time is up
+    std::optional<Duration> retry_after;
+};
+
+// Whoever waits for an item's answer. Exactly one call ends it.
+class Responder {
+  public:
+    virtual void served(const Answer& answer) = 0;
+    virtual void ended(const Ending& ending) = 0;
+
+  protected:
+    ~Responder() = default;
+};
+
+// How an attempt or a probe came out, as a backend's wire tells it. Positions are Unix times.
+struct Result {
+    starlingpond::Status status = starlingpond::Status::error;
+    std::optional<starlingpond::Role> role;
+    std::optional<std::int64_t> position_unix_us;
+    std::optional<std::int64_t> report_position_unix_us;
+    starlingpond::Report report;  // its position is left out: see above
+    Answer answer;
+    bool reusable = true;  // the link may carry another
+};
+
+struct MemberInfo {  // an entry of the list
+    std::string uid, endpoint;
+    std::uint32_t zone = 0, group = 0;
+    starlingpond::MemberState state = starlingpond::MemberState::ready;
+    bool primary = false;
+    std::int64_t boot_unix_ms = 0;  // 0: long ago
+};
+
+}  // namespace indigovane::routing
--- /dev/null
+++ b/src/transport/buffer.hpp
@@ -0,0 +1,56 @@
+// The bytes that a connection has read and nobody has consumed yet.
+#pragma once
+
+#include <algorithm>
+#include <cstddef>
+#include <cstring>
+#include <string_view>
+#include <vector>
+
+namespace indigovane::transport {
+
+// Grows as it needs to and is compacted in place: what is unread moves to the front when room runs out
+// behind it. Gives back a large block once it has been emptied, so that many idle connections stay small.
+class Buffer {
+  public:
+    std::string_view view() const { return {bytes_.data() + begin_, end_ - begin_}; }
+    std::size_t size() const { return end_ - begin_; }
+    bool empty() const { return begin_ == end_; }
+    std::size_t capacity() const { return bytes_.size(); }
+
+    // Room for at least `room` more bytes; returned with its true length.
+    struct Span {
+        char* data;
+        std::size_t size;
+    };
+    Span prepare(std::size_t room) {
+        if (bytes_.size() - end_ < room) compact();
+        if (bytes_.size() - end_ < room) bytes_.resize(std::max(end_ + room, bytes_.size() * 2));
+        return {bytes_.data() + end_, bytes_.size() - end_};
+    }
+    void commit(std::size_t count) { end_ += count; }
+    void consume(std::size_t count) {
+        begin_ += std::min(count, size());
+        if (begin_ != end_) return;
+        begin_ = end_ = 0;
+        if (bytes_.size() > kKept) {
+            bytes_.clear();
+            bytes_.shrink_to_fit();
+        }
+    }
+
+  private:
+    static constexpr std::size_t kKept = 16384;
+
+    void compact() {
+        if (begin_ == 0) return;
+        std::memmove(bytes_.data(), bytes_.data() + begin_, size());
+        end_ -= begin_;
+        begin_ = 0;
+    }
+
+    std::vector<char> bytes_;
+    std::size_t begin_ = 0, end_ = 0;
+};
+
+}  // namespace indigovane::transport
--- /dev/null
+++ b/src/transport/connection.cpp
@@ -0,0 +1,166 @@
+#include "transport/connection.hpp"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/coroutine.hpp>
+#include <boost/asio/error.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/asio/yield.hpp>
+
+namespace indigovane::transport {
+
+namespace {
+constexpr std::size_t kReadRoom = 2048;
+}
+
+struct Connection::Reader : asio::coroutine {
+    std::shared_ptr<Connection> self;
+    bool connect;
+
+    Reader(std::shared_ptr<Connection> c, bool connecting) : self(std::move(c)), connect(connecting) {}
+
+    void operator()(error_code ec = {}, std::size_t count = 0) {
+        Connection& c = *self;
+        if (c.state_ == State::closed) return;
+        reenter(this) {
+            if (connect) {
+                yield c.socket_.async_connect(c.peer_, Reader(*this));
+                if (ec) {
+                    c.fail(ec);
+                    return;
+                }
+                c.state_ = State::open;
+                c.socket_.set_option(asio::ip::tcp::no_delay(true), ec);
+                if (c.handler_) c.handler_->on_connected();
+            }
+            while (c.state_ == State::open && !c.close_when_written_) {
+                if (c.in_.size() >= c.limit_) {  // backpressure: resume() starts another reader
+                    c.reading_ = false;
+                    return;
+                }
+                c.reading_ = true;
+                yield {
+                    Buffer::Span room = c.in_.prepare(kReadRoom);
+                    c.socket_.async_read_some(asio::buffer(room.data, room.size), Reader(*this));
+                }
+                if (ec) {
+                    c.fail(ec);
+                    return;
+                }
+                c.in_.commit(count);
+                if (c.handler_) c.handler_->on_data(c.in_);
+            }
+            c.reading_ = false;
+        }
+    }
+};
+
+struct Connection::Writer : asio::coroutine {
+    std::shared_ptr<Connection> self;
+
+    explicit Writer(std::shared_ptr<Connection> c) : self(std::move(c)) {}
+
+    void operator()(error_code ec = {}, std::size_t = 0) {
+        Connection& c = *self;
+        if (c.state_ == State::closed) return;
+        reenter(this) {
+            while (!c.out_.empty()) {
+                std::swap(c.out_, c.writing_);
+                yield asio::async_write(c.socket_, asio::buffer(c.writing_), Writer(*this));
+                if (ec) {
+                    c.fail(ec);
+                    return;
+                }
+                c.writing_.clear();
+                if (c.writing_.capacity() > 16384) c.writing_.shrink_to_fit();
+            }
+            c.writer_busy_ = false;
+            if (c.close_when_written_) {
+                c.close();
+                return;
+            }
+            if (c.handler_) c.handler_->on_written();
+        }
+    }
+};
+
+Connection::Connection(asio::io_context& io)
+    : io_(io), strand_(asio::make_strand(io)), socket_(strand_), timer_(strand_) {}
+
+void Connection::adopt(asio::ip::tcp::socket socket, Handler& handler) {
+    handler_ = &handler;
+    state_ = State::open;
+    error_code ec;
+    auto protocol = socket.local_endpoint(ec).protocol();
+    socket_.assign(protocol, socket.release(), ec);
+    socket_.set_option(asio::ip::tcp::no_delay(true), ec);
+    asio::post(strand_, Reader(shared_from_this(), false));
+}
+
+void Connection::connect(const Endpoint& to, std::chrono::microseconds timeout, Handler& handler) {
+    handler_ = &handler;
+    peer_ = to;
+    state_ = State::connecting;
+    timer_.expires_after(timeout);
+    timer_.async_wait([weak = weak_from_this()](const error_code& ec) {
+        auto self = weak.lock();
+        if (self && !ec && !self->established_) self->fail(asio::error::timed_out);
+    });
+    asio::post(strand_, Reader(shared_from_this(), true));
+}
+
+void Connection::established() {
+    established_ = true;
+    timer_.cancel();
+}
+
+bool Connection::readable() {
+    error_code ec;
+    return state_ == State::open && (!in_.empty() || socket_.available(ec) > 0);
+}
+
+void Connection::write(std::string bytes) {
+    if (state_ == State::closed || close_when_written_) return;
+    if (out_.empty())
+        out_ = std::move(bytes);
+    else
+        out_ += bytes;
+    if (writer_busy_ || state_ != State::open) return;
+    writer_busy_ = true;
+    Writer writer(shared_from_this());
+    writer();
+}
+
+void Connection::resume() {
+    if (state_ != State::open || reading_ || in_.size() >= limit_) return;
+    reading_ = true;
+    asio::post(strand_, Reader(shared_from_this(), false));
+}
+
+void Connection::close_after_writing() {
+    if (state_ == State::closed) return;
+    handler_ = nullptr;
+    if (all_written() && !writer_busy_)
+        close();
+    else
+        close_when_written_ = true;
+}
+
+void Connection::close() {
+    if (state_ == State::closed) return;
+    state_ = State::closed;
+    handler_ = nullptr;
+    error_code ec;
+    timer_.cancel(ec);
+    socket_.close(ec);
+}
+
+void Connection::fail(const error_code& ec) {
+    if (state_ == State::closed) return;
+    Handler* handler = handler_;
+    close();
+    if (handler) handler->on_closed(ec);
+}
+
+}  // namespace indigovane::transport
+
+#include <boost/asio/unyield.hpp>
--- /dev/null
+++ b/src/transport/connection.hpp
@@ -0,0 +1,77 @@
+// One TCP connection: a reader and a writer, each a stackless coroutine on the connection's strand.
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <chrono>
+#include <memory>
+#include <string>
+
+#include "transport/buffer.hpp"
+
+namespace indigovane::transport {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+using Endpoint = asio::ip::tcp::endpoint;
+using Strand = asio::strand<asio::io_context::executor_type>;
+
+class Connection : public std::enable_shared_from_this<Connection> {
+  public:
+    // Told what happens. Not owned; whoever goes away first calls detach().
+    class Handler {
+      public:
+        virtual void on_connected() {}
+        virtual void on_data(Buffer& in) = 0;
+        virtual void on_written() {}                    // all that was queued is with the kernel
+        virtual void on_closed(const error_code&) = 0;  // by the other side or an error; nothing follows
+
+      protected:
+        ~Handler() = default;
+    };
+
+    explicit Connection(asio::io_context& io);
+
+    void adopt(asio::ip::tcp::socket socket, Handler& handler);
+    void connect(const Endpoint& to, std::chrono::microseconds timeout, Handler& handler);
+
+    // The timeout of connect() runs until this is called: a peer may accept and then say nothing.
+    void established();
+
+    bool readable();  // something has come that the handler has not consumed
+    void write(std::string bytes);
+    bool all_written() const { return out_.empty() && writing_.empty(); }
+    std::size_t unwritten() const { return out_.size() + writing_.size(); }
+
+    // While more than this is unread the connection reads no further.
+    void limit_unread(std::size_t bytes) { limit_ = bytes; }
+    void resume();  // something was consumed: reading may go on
+
+    void close_after_writing();  // what is queued still goes out; nothing more is read
+    void close();                // at once; the handler hears nothing more
+    void detach() { handler_ = nullptr; }
+    bool open() const { return state_ == State::open; }
+
+  private:
+    enum class State { idle, connecting, open, closed };
+    struct Reader;
+    struct Writer;
+
+    void fail(const error_code& ec);
+
+    asio::io_context& io_;
+    Strand strand_;
+    asio::ip::tcp::socket socket_;
+    asio::steady_timer timer_;
+    Handler* handler_ = nullptr;
+    State state_ = State::idle;
+    Endpoint peer_;
+    Buffer in_;
+    std::string out_, writing_;  // waiting to be written; being written
+    std::size_t limit_ = 1 << 20;
+    bool reading_ = false, writer_busy_ = false, close_when_written_ = false, established_ = false;
+};
+
+}  // namespace indigovane::transport
--- /dev/null
+++ b/src/transport/endpoint.hpp
@@ -0,0 +1,13 @@
+#pragma once
+
+#include <optional>
+#include <string_view>
+
+#include "transport/connection.hpp"
+
+namespace indigovane::transport {
+
+// "address:port" or "[address]:port", numbers only: there is no name service to ask.
+std::optional<Endpoint> read_endpoint(std::string_view text);
+
+}  // namespace indigovane::transport
