--- a/include/starlingpond/brain.hpp
+++ b/include/starlingpond/brain.hpp
@@ -156,7 +156,7 @@
     RequestId id{};
     MemberId member{};
     std::optional<Duration> timeout;  // none: until the client gives up
-    std::optional<Time> needs;        // a read: the position that its data must have reached
+    std::optional<Time> needs{};      // a read: the position that its data must have reached
 };
 struct Cancel {
     RequestId id{};
