--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -73,6 +73,8 @@
 // Requests.
 constexpr double kLatencyGain = 0.05;              // weight of an answer in a class's usual answer time
 constexpr Duration kLeastHold = milliseconds(50);  // enough to ask a replica or two
+constexpr double kHoldShare = 0.45;  // of a request's time: one refused later leaves its client no time to
+                                     // come again, and has cost it more than it could still earn
 constexpr double kTail = 2.5;         // answer times that a held read keeps in hand: most answers take less
 constexpr double kFirstGuess = 0.25;  // usual answer time before any answer, as a share of the aim
 constexpr int kRepeats =
@@ -723,7 +725,9 @@
     // only a primary can take waits until its deadline: the gap of a primary change ends in time, and nobody
     // else can serve it.
     Time give_up(const Live& r) const {
-        if (r.for_primary()) return r.deadline - kAnswerMargin - from_ms(r.cls->usual_ms);
+        if (r.for_primary())
+            return std::min(r.deadline - kAnswerMargin - from_ms(r.cls->usual_ms),
+                            r.arrived + from_ms(ms(r.deadline - r.arrived) * kHoldShare));
         return std::max(r.arrived + kLeastHold, r.aim - from_ms(r.cls->usual_ms * kTail));
     }
 
