--- a/src/adapters/pg_backend.cpp
+++ b/src/adapters/pg_backend.cpp
@@ -99,9 +99,7 @@
         ask(pg::Writer().query(sql).take());
     }
 
-    void on_connected() override {
-        connection_->write(pg::Writer().startup("backend", "store").take());
-    }
+    void on_connected() override { connection_->write(pg::Writer().startup("backend", "store").take()); }
 
     void on_data(transport::Buffer& in) override {
         auto self = shared_from_this();  // the owner may let go of this link on what it is told
@@ -198,7 +196,8 @@
             else
                 came_up();
         } else if (state_ == State::asked) {
-            if (!failed_) result_.status = got_complete_ && (got_row_ || multiple_) ? Status::ok : Status::error;
+            if (!failed_)
+                result_.status = got_complete_ && (got_row_ || multiple_) ? Status::ok : Status::error;
             answer(std::move(result_));
         }
     }
--- a/src/adapters/pg_front.cpp
+++ b/src/adapters/pg_front.cpp
@@ -48,10 +48,13 @@
     bool step(transport::Buffer& in) override {
         in_ = &in;
         switch (expects_) {
-            case Expects::startup: return startup();
-            case Expects::rest_of_message: return skip();
+            case Expects::startup:
+                return startup();
+            case Expects::rest_of_message:
+                return skip();
             case Expects::command:
-            case Expects::sync: return command();
+            case Expects::sync:
+                return command();
         }
         return false;
     }
@@ -76,16 +79,16 @@
         if (code >> 16 != 3)
             return fatal(pg::sqlstate::feature_not_supported, "only protocol 3 is spoken here");
         write(pg::Writer()
-                               .authentication_ok()
-                               .parameter("server_version", "15.0 (indigovane)")
-                               .parameter("server_encoding", "UTF8")
-                               .parameter("client_encoding", "UTF8")
-                               .parameter("DateStyle", "ISO, MDY")
-                               .parameter("integer_datetimes", "on")
-                               .parameter("standard_conforming_strings", "on")
-                               .backend_key(1, 0)
-                               .ready()
-                               .take());
+                  .authentication_ok()
+                  .parameter("server_version", "15.0 (indigovane)")
+                  .parameter("server_encoding", "UTF8")
+                  .parameter("client_encoding", "UTF8")
+                  .parameter("DateStyle", "ISO, MDY")
+                  .parameter("integer_datetimes", "on")
+                  .parameter("standard_conforming_strings", "on")
+                  .backend_key(1, 0)
+                  .ready()
+                  .take());
         expects_ = Expects::command;
         return true;
     }
--- a/src/adapters/rest.cpp
+++ b/src/adapters/rest.cpp
@@ -23,9 +23,9 @@
         for (char c : text) hash = (hash ^ std::uint8_t(c)) * 1099511628211u;
     };
     std::string group = std::to_string(q.group);
-    for (std::string_view part : {std::string_view(q.class_name), std::string_view(q.session),
-                                  std::string_view(q.tenant), std::string_view(q.prefix),
-                                  std::string_view(group), after}) {
+    for (std::string_view part :
+         {std::string_view(q.class_name), std::string_view(q.session), std::string_view(q.tenant),
+          std::string_view(q.prefix), std::string_view(group), after}) {
         add(std::to_string(part.size()) + ":");
         add(part);
     }
--- a/src/adapters/rest_backend.cpp
+++ b/src/adapters/rest_backend.cpp
@@ -40,16 +40,16 @@
         probing_ = false;
         std::string wait = std::to_string(std::max<std::int64_t>(1, remaining.count() / 1000));
         std::string floor = needs ? std::to_string(*needs) : "";
-        std::vector<http::Field> fields{{"Request-Id", item.id},
-                                        {"Request-Class", item.class_name},
-                                        {"Request-Timeout-Ms", wait}};
+        std::vector<http::Field> fields{
+            {"Request-Id", item.id}, {"Request-Class", item.class_name}, {"Request-Timeout-Ms", wait}};
         if (!item.tenant.empty()) fields.push_back({"Tenant", item.tenant});
         if (!item.key.empty()) fields.push_back({"Idempotency-Key", item.key});
         if (needs) fields.push_back({"Min-Position", floor});
         std::string target = "/v1/clusters/" + std::to_string(std::uint32_t(item.group)) + "/kv";
         switch (verb_) {
             case Item::Verb::lookup:
-                ask(http::write_request("GET", target + "/" + http::percent_encode(item.name), host_, fields));
+                ask(http::write_request("GET", target + "/" + http::percent_encode(item.name), host_,
+                                        fields));
                 return;
             case Item::Verb::write: {
                 fields.push_back({"Content-Type", "application/octet-stream"});
@@ -60,12 +60,13 @@
                 return;
             }
             case Item::Verb::page:
-                target += "?after=" + http::percent_encode(item.name) +
-                          "&limit=" + std::to_string(item.limit);
+                target +=
+                    "?after=" + http::percent_encode(item.name) + "&limit=" + std::to_string(item.limit);
                 if (item.prefix) target += "&prefix=" + http::percent_encode(*item.prefix);
                 ask(http::write_request("GET", target, host_, fields));
                 return;
-            case Item::Verb::other: break;
+            case Item::Verb::other:
+                break;
         }
         // A statement that has no form in this protocol. It never ran, and no other member knows it either.
         state_ = State::asked;
--- a/src/adapters/rest_front.cpp
+++ b/src/adapters/rest_front.cpp
@@ -33,17 +33,16 @@
 
 bool plain(std::string_view text) {  // fit for a statement's comment and a header field
     return std::all_of(text.begin(), text.end(), [](char c) {
-        return std::isalnum(std::uint8_t(c)) ||
-               std::string_view("-_.:").find(c) != std::string_view::npos;
+        return std::isalnum(std::uint8_t(c)) || std::string_view("-_.:").find(c) != std::string_view::npos;
     });
 }
 
 class RestSession : public Session {
   public:
     RestSession(boost::asio::io_context& io, RestFront& front, Intake& intake)
-        : Session(io, front, intake,
-                  {.unread = kLimits.head + kLimits.body + 4096,
-                   .half_request = front.options().half_request}),
+        : Session(
+              io, front, intake,
+              {.unread = kLimits.head + kLimits.body + 4096, .half_request = front.options().half_request}),
           front_(front),
           parser_(kLimits) {}
 
@@ -52,8 +51,10 @@
         http::Request request;
         std::size_t length = 0;
         switch (parser_.request(in.view(), request, length)) {
-            case http::Next::more: return false;
-            case http::Next::message: break;
+            case http::Next::more:
+                return false;
+            case http::Next::message:
+                break;
             case http::Next::head_too_large:
                 return hang_up({431, "head-too-large", "The request's head is too large", ""});
             case http::Next::body_too_large:
@@ -83,9 +84,7 @@
         return !over();
     }
 
-    void on_half_request() override {
-        hang_up({408, "half-request", "The request did not end in time", ""});
-    }
+    void on_half_request() override { hang_up({408, "half-request", "The request did not end in time", ""}); }
 
     std::optional<Problem> read(const http::Request& request, Item& item) {
         health_ = false;
@@ -127,8 +126,7 @@
         if (cls->write) return invalid("'class' names a class of writes");
         query_ = rest::Query{cls->name, std::string(parameter("session")), std::string(parameter("tenant")),
                              std::string(parameter("prefix")), *group};
-        if (cls->session && query_.session.empty())
-            return invalid("this class of request needs a 'session'");
+        if (cls->session && query_.session.empty()) return invalid("this class of request needs a 'session'");
         if (!plain(query_.tenant)) return invalid("'tenant' is no name");
         item.patience = cls->deadline;
         if (auto wait = target.parameter("wait_ms")) {
@@ -183,9 +181,8 @@
             fields.push_back({"Content-Type", "application/octet-stream"});
             return finish(200, fields, rest::raw_content(answer.rows[0].content, answer.binary));
         }
-        std::vector<Row> rows(answer.rows.begin(),
-                              answer.rows.begin() +
-                                  std::ptrdiff_t(std::min<std::size_t>(answer.rows.size(), size_)));
+        std::vector<Row> rows(answer.rows.begin(), answer.rows.begin() + std::ptrdiff_t(std::min<std::size_t>(
+                                                                             answer.rows.size(), size_)));
         for (Row& row : rows) row.content = rest::raw_content(row.content, answer.binary);
         json body{{"items", rest::write_rows(rows)}, {"next", nullptr}};
         std::string link;
--- a/src/program/lifecycle.cpp
+++ b/src/program/lifecycle.cpp
@@ -83,8 +83,8 @@
         adapters::RestOptions options;
         options.page_size = config_.rest.page_size;
         options.page_size_most = config_.rest.page_size_most;
-        fronts_.push_back(std::make_unique<adapters::RestFront>(
-            io_, config_.rest.listen, rest_clients, config_.classes, options, *core_, log_));
+        fronts_.push_back(std::make_unique<adapters::RestFront>(io_, config_.rest.listen, rest_clients,
+                                                                config_.classes, options, *core_, log_));
     }
     if (config_.rest.syslog) {
         syslog_ = std::make_unique<adapters::SyslogSink>(io_, *config_.rest.syslog);
--- /dev/null
+++ b/tests/support/harness.hpp
@@ -0,0 +1,345 @@
+// What the network tests share: a loop with the core in it, clients, hosts that stand in for members, and
+// random steps with a fixed seed. Everything listens on loopback ports that the system picks.
+#pragma once
+
+#include <doctest/doctest.h>
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <set>
+#include <string>
+
+#include "adapters/classes.hpp"
+#include "adapters/rest.hpp"
+#include "protocol/http.hpp"
+#include "protocol/pg.hpp"
+#include "routing/core.hpp"
+#include "transport/listener.hpp"
+
+namespace indigovane::testing {
+
+namespace http = protocol::http;
+namespace pg = protocol::pg;
+using nlohmann::json;
+using namespace std::chrono_literals;
+
+inline transport::Endpoint loopback() {
+    return {boost::asio::ip::make_address("127.0.0.1"), 0};
+}
+inline std::string text(const transport::Endpoint& at) {
+    return at.address().to_string() + ":" + std::to_string(at.port());
+}
+
+struct NullLogger : routing::Logger {
+    void log(routing::Level, const char* id, const std::string&, const Data&) override { ++lines[id]; }
+    std::map<std::string, int> lines;
+};
+
+// Runs handlers and batches until something holds. The limit only ends a test that would hang.
+struct Loop {
+    boost::asio::io_context io;
+    std::function<void()> batch = [] {};
+
+    bool until(const std::function<bool()>& holds) {
+        auto limit = std::chrono::steady_clock::now() + 20s;
+        while (!holds()) {
+            if (std::chrono::steady_clock::now() > limit) return false;
+            io.restart();
+            io.run_one_for(20ms);
+            io.poll();
+            batch();
+        }
+        return true;
+    }
+    void settle() {  // whatever is ready now
+        for (int i = 0; i < 20; ++i) {
+            io.restart();
+            io.run_for(1ms);
+            batch();
+        }
+    }
+};
+
+// One connection from the outside; what comes back piles up in `in`.
+struct Client : transport::Connection::Handler {
+    explicit Client(Loop& l, const transport::Endpoint& to)
+        : loop(l), connection(std::make_shared<transport::Connection>(l.io)) {
+        connection->connect(to, 10s, *this);
+        REQUIRE(loop.until([&] { return up; }));
+    }
+    ~Client() { connection->close(); }
+    void on_connected() override {
+        up = true;
+        connection->established();
+    }
+    void on_data(transport::Buffer& b) override {
+        in += b.view();
+        b.consume(b.size());
+    }
+    void on_closed(const transport::error_code&) override { closed = true; }
+    void send(std::string bytes) { connection->write(std::move(bytes)); }
+
+    // REST: the next whole response.
+    http::Response response() {
+        http::Response r;
+        std::size_t length = 0;
+        REQUIRE(loop.until([&] {
+            return http::Parser({65536, 8 << 20}).response(in, closed, r, length) == http::Next::message;
+        }));
+        body = r.body;
+        in.erase(0, length);
+        return r;
+    }
+    http::Response get(const std::string& target, const std::vector<http::Field>& fields = {}) {
+        send(http::write_request("GET", target, "test", fields));
+        return response();
+    }
+    // pg: the types of the messages up to and with the next ReadyForQuery, and the last error's code.
+    std::string reply() {
+        std::string types;
+        code.clear(), detail.clear();
+        REQUIRE(loop.until([&] {
+            for (;;) {
+                pg::Message m;
+                std::size_t length = 0;
+                if (pg::next_message(in, 8 << 20, m, length) != pg::Next::message) return closed;
+                if (m.type != 'S' && m.type != 'K') types += m.type;
+                if (m.type == 'E') {
+                    code = pg::read_error(m.body).code;
+                    std::size_t d = m.body.find(std::string_view("\0D", 2));
+                    if (d != std::string_view::npos) detail = m.body.substr(d + 2).data();
+                }
+                if (m.type == 'D') value = (*pg::read_values(m.body))[0].value_or("");
+                in.erase(0, length);
+                if (types.back() == 'Z') return true;
+            }
+        }));
+        return types;
+    }
+
+    Loop& loop;
+    std::shared_ptr<transport::Connection> connection;
+    std::string in, body, code, detail, value;
+    bool up = false, closed = false;
+};
+
+// A member's data and manners, whatever wire it speaks.
+struct Host {
+    std::map<std::string, std::string> rows;
+    bool primary = false, silent = false, failing = false, refusing = false, checks = true;
+    std::int64_t lag_ms = 0;   // behind the present; a primary is not
+    int queries = 0, cut = 0;  // asked; given up by the other side before their answer
+    std::vector<std::string> asked;
+    routing::Clock clock;
+
+    std::int64_t position() const { return clock.to_unix(clock.now()) / 1000 - (primary ? 0 : lag_ms); }
+    std::vector<routing::Row> page(const std::string& after, const std::string& prefix,
+                                   std::size_t limit) const {
+        std::vector<routing::Row> out;
+        for (auto it = rows.upper_bound(after); it != rows.end() && out.size() < limit; ++it)
+            if (it->first.compare(0, prefix.size(), prefix) == 0) out.push_back({it->first, it->second});
+        return out;
+    }
+};
+
+// Accepts connections and hands the bytes of each to `answer`, which returns what is to be sent back.
+class StandIn {
+  public:
+    StandIn(Loop& loop, Host& host)
+        : loop_(loop), host_(host), listener_(loop.io, loopback(), [this](auto socket) {
+              auto peer = std::make_shared<Peer>(*this);
+              peers_.insert(peer);
+              peer->connection->adopt(std::move(socket), *peer);
+          }) {
+        listener_.start();
+    }
+    virtual ~StandIn() {
+        listener_.close();
+        for (auto& p : peers_) p->connection->close();
+    }
+    std::string address() const { return text(listener_.local()); }
+    std::size_t connections() const { return peers_.size(); }
+    void drop_all() {
+        for (auto& p : peers_) p->connection->close();
+        peers_.clear();
+    }
+
+  protected:
+    struct Peer : transport::Connection::Handler {
+        explicit Peer(StandIn& s)
+            : owner(s), connection(std::make_shared<transport::Connection>(s.loop_.io)) {}
+        void on_data(transport::Buffer& in) override {
+            std::string out;
+            while (owner.take(*this, in, out)) {
+            }
+            if (!out.empty()) connection->write(std::move(out));
+        }
+        void on_closed(const transport::error_code&) override {
+            if (waiting) ++owner.host_.cut;
+            connection->detach();
+            for (auto it = owner.peers_.begin(); it != owner.peers_.end(); ++it)
+                if (it->get() == this) {
+                    owner.peers_.erase(it);
+                    return;
+                }
+        }
+        StandIn& owner;
+        std::shared_ptr<transport::Connection> connection;
+        bool started = false, waiting = false;
+    };
+    virtual bool take(Peer& peer, transport::Buffer& in, std::string& out) = 0;
+
+    Loop& loop_;
+    Host& host_;
+
+  private:
+    std::set<std::shared_ptr<Peer>> peers_;
+    transport::Listener listener_;
+};
+
+class RestHost : public StandIn {
+  public:
+    using StandIn::StandIn;
+
+  protected:
+    bool take(Peer& peer, transport::Buffer& in, std::string& out) override {
+        http::Request r;
+        std::size_t length = 0;
+        if (http::Parser({65536, 1 << 20}).request(in.view(), r, length) != http::Next::message) return false;
+        auto target = *http::read_target(r.target);
+        std::string position = std::to_string(host_.position());
+        std::vector<http::Field> fields{{"Data-Position", position},
+                                        {"Member-Role", host_.primary ? "primary" : "replica"}};
+        if (target.segments[0] == "health") {
+            json body{{"position_ms", host_.position()}, {"primary", host_.primary}, {"inflight", 0}};
+            out += http::write_response(200, {}, body.dump(), true);
+        } else {
+            ++host_.queries;
+            host_.asked.push_back(std::string(r.method) + " " + std::string(r.target));
+            auto floor = r.field("min-position");
+            if (host_.silent)
+                peer.waiting = true;
+            else if (host_.failing)
+                out += http::write_response(500, fields, "", true);
+            else if (host_.refusing)
+                out += http::write_response(503, fields, "", true);
+            else if (r.method == "PUT" && !host_.primary)
+                out += http::write_response(421, fields, "", true);
+            else if (r.method == "PUT")
+                out += http::write_response(200, fields, host_.rows[target.segments[4]] = r.body, true);
+            else if (host_.checks && floor && std::stoll(std::string(*floor)) > host_.position())
+                out += http::write_response(412, fields, "", true);
+            else if (target.segments.size() == 5 && !host_.rows.count(target.segments[4]))
+                out += http::write_response(404, fields, "", true);
+            else if (target.segments.size() == 5)
+                out += http::write_response(200, fields, host_.rows[target.segments[4]], true);
+            else
+                out += http::write_response(
+                    200, fields,
+                    json{{"items", adapters::rest::write_rows(
+                                       host_.page(std::string(*target.parameter("after")),
+                                                  std::string(target.parameter("prefix").value_or("")),
+                                                  std::stoul(std::string(*target.parameter("limit")))))}}
+                        .dump(),
+                    true);
+        }
+        in.consume(length);
+        return true;
+    }
+};
+
+class PgHost : public StandIn {
+  public:
+    using StandIn::StandIn;
+
+  protected:
+    bool take(Peer& peer, transport::Buffer& in, std::string& out) override {
+        pg::Message m;
+        std::size_t length = 0;
+        auto next = peer.started ? pg::next_message(in.view(), 1 << 20, m, length)
+                                 : pg::next_startup(in.view(), 10000, m, length);
+        if (next != pg::Next::message) return false;
+        std::string body(m.body.substr(0, m.body.find('\0')));
+        in.consume(length);
+        pg::Writer w;
+        if (!std::exchange(peer.started, true)) {
+            out += w.authentication_ok().parameter("server_version", "15").ready().take();
+            return true;
+        }
+        std::string position = std::to_string(host_.position());
+        if (body == "SHOW health") {
+            std::string seconds =
+                position.substr(0, position.size() - 3) + "." + position.substr(position.size() - 3);
+            std::string report = "x0=" + seconds + ",x1=" + (host_.primary ? "1" : "0") + ",inflight=0";
+            out +=
+                w.row_description({{"health", 25, false}}).data_row({report}).complete("SHOW").ready().take();
+            return true;
+        }
+        ++host_.queries;
+        host_.asked.push_back(body);
+        if (host_.silent) {
+            peer.waiting = true;
+            return true;
+        }
+        pg::Verb verb = pg::read_verb(pg::read_statement(body).body);
+        if (host_.failing)
+            w.error("ERROR", "XX000", "broken");
+        else if (host_.refusing)
+            w.error("ERROR", "53300", "full");
+        else if (verb.kind == pg::Verb::Kind::write && !host_.primary)
+            w.error("ERROR", "25006", "read-only");
+        else if (verb.kind == pg::Verb::Kind::page) {
+            w.row_description({{"name", 25, false}, {"content", 17, true}});
+            auto rows = host_.page(verb.name, verb.prefix.value_or(""), verb.limit);
+            for (auto& row : rows) w.data_row({row.name, row.content});
+            w.complete("SELECT " + std::to_string(rows.size()));
+        } else {
+            if (verb.content) host_.rows[verb.name] = pg::unhex(*verb.content).value_or(*verb.content);
+            w.row_description({{"content", 17, true}}).data_row({host_.rows[verb.name]});
+            w.complete(verb.content ? "INSERT 0 1" : "SELECT 1");
+        }
+        w.parameter("recovery", host_.primary ? "off" : "on").parameter("lsn_ms", position);
+        out += w.ready().take();
+        return true;
+    }
+};
+
+// Classes like a deployment's: a bounded read, a session read, a write.
+inline starlingpond::Settings settings() {
+    starlingpond::Settings s;
+    s.fleet_size = 1, s.probes = true, s.cancels = true, s.retry_after = true, s.attempts = 10;
+    s.longest_retry_after = 1s, s.tokens = starlingpond::TokenSource::remembered;
+    s.server_check = starlingpond::ServerCheck::wait;
+    for (auto [consistency, effect] :
+         {std::pair{starlingpond::Consistency::bounded, starlingpond::Effect::safe},
+          {starlingpond::Consistency::session, starlingpond::Effect::safe},
+          {starlingpond::Consistency::write, starlingpond::Effect::keyed}}) {
+        starlingpond::ClassSettings c;
+        c.consistency = consistency, c.effect = effect;
+        c.aim = 2s, c.deadline = 4s, c.bound = 3s, c.repeat_window = 2s;
+        c.repeat_scope = starlingpond::RepeatScope::group;
+        s.classes.push_back(c);
+    }
+    return s;
+}
+inline adapters::Classes classes() {
+    return adapters::Classes({{"stock-view", routing::ClassId{0}, 4s, false, false},
+                              {"own-order", routing::ClassId{1}, 4s, false, true},
+                              {"scan-write", routing::ClassId{2}, 4s, true, false}});
+}
+
+// Random steps with a fixed seed: the same on every machine.
+class Dice {
+  public:
+    explicit Dice(std::uint64_t seed) : engine_(seed) {}
+    std::size_t below(std::size_t n) { return std::size_t(engine_() % n); }
+
+  private:
+    std::mt19937_64 engine_;
+};
+
+}  // namespace indigovane::testing
--- /dev/null
+++ b/tests/walk_test.cpp
@@ -0,0 +1,258 @@
+// Whole paths on loopback: a front, the core with its module, a backend, and hosts that stand in for members.
+#include "adapters/pg_backend.hpp"
+#include "adapters/pg_front.hpp"
+#include "adapters/rest_backend.hpp"
+#include "adapters/rest_front.hpp"
+#include "support/harness.hpp"
+
+namespace indigovane::testing {
+namespace {
+
+using routing::MemberInfo;
+using starlingpond::ListKind;
+using starlingpond::MemberState;
+
+// One primary and two replicas of one group behind both fronts.
+template <typename Backend, typename StandInHost>
+struct Deployment {
+    Loop loop;
+    NullLogger logger;
+    routing::Clock clock;
+    Host hosts[3];
+    std::vector<std::unique_ptr<StandInHost>> servers;
+    Backend backend{loop.io};
+    routing::Core core;
+    adapters::Classes known = classes();
+    adapters::RestFront rest;
+    adapters::PgFront pg;
+
+    explicit Deployment(std::size_t links = 64)
+        : core(loop.io, clock, settings(), 7, limits(links), backend, logger),
+          rest(loop.io, loopback(), 64, known, {.page_size = 4, .page_size_most = 10}, core, logger),
+          pg(loop.io, loopback(), 64, known, core, logger) {
+        hosts[0].primary = true;
+        for (Host& host : hosts) {
+            servers.push_back(std::make_unique<StandInHost>(loop, host));
+            for (int i = 0; i < 23; ++i)
+                host.rows["r" + std::to_string(100 + i)] = "value" + std::to_string(i);
+        }
+        std::vector<MemberInfo> members;
+        for (std::size_t i = 0; i < 3; ++i) members.push_back(member(i, MemberState::ready));
+        core.list(ListKind::full, members);
+        loop.batch = [this] { core.run_batch(); };
+        rest.start();
+        pg.start();
+    }
+    static routing::CoreLimits limits(std::size_t links) {
+        routing::CoreLimits l;
+        l.links = links;
+        l.probe_timeout = l.connect_timeout = 2s;
+        return l;
+    }
+    MemberInfo member(std::size_t i, MemberState state) {
+        MemberInfo m;
+        m.uid = "m" + std::to_string(i), m.endpoint = servers[i]->address();
+        m.group = 3, m.state = state, m.primary = i == 0;
+        return m;
+    }
+    int replica_queries() const { return hosts[1].queries + hosts[2].queries; }
+};
+using RestDeployment = Deployment<adapters::RestBackend, RestHost>;
+using PgDeployment = Deployment<adapters::PgBackend, PgHost>;
+
+const std::string kPage = "/v1/clusters/3/kv?class=stock-view";
+
+std::string next_of(const http::Response& r) {
+    std::string link(r.field("link").value_or(""));
+    CHECK((link.empty() || link.find(">; rel=\"next\"") != std::string::npos));
+    return link.empty() ? "" : link.substr(1, link.find('>') - 1);
+}
+void collect(Client& client, std::vector<std::string>& names) {
+    json body = json::parse(client.body);
+    for (auto& item : body["items"]) names.push_back(item["name"]);
+}
+template <typename D>
+std::vector<std::string> all_names(const D& d) {
+    std::vector<std::string> names;
+    for (auto& [name, content] : d.hosts[0].rows) names.push_back(name);
+    return names;
+}
+
+TEST_CASE_TEMPLATE("a walk sees every row once, with hosts of either wire", D, RestDeployment, PgDeployment) {
+    D d;
+    Client client(d.loop, d.rest.local());
+    std::vector<std::string> names;
+    for (std::string target = kPage + "&limit=5"; !target.empty();) {
+        auto r = client.get(target);
+        REQUIRE(r.status == 200);
+        CHECK(r.field("data-position"));
+        collect(client, names);
+        target = next_of(r);
+    }
+    CHECK(names == all_names(d));
+    CHECK(d.hosts[0].queries == 0);  // bounded reads stay off the primary
+    CHECK(client.get("/v1/clusters/3/kv/r105?class=own-order&session=s1").status == 200);
+    CHECK(client.body == "value5");
+}
+
+TEST_CASE_TEMPLATE("a replica drained in the middle of a walk", D, RestDeployment, PgDeployment) {
+    for (std::size_t drained : {1, 2}) {
+        D d;
+        Client client(d.loop, d.rest.local());
+        std::vector<std::string> names;
+        int pages = 0, before = 0;
+        for (std::string target = kPage + "&limit=3"; !target.empty(); ++pages) {
+            if (pages == 3) {
+                before = d.hosts[drained].queries;
+                d.core.list(ListKind::changes, {d.member(drained, MemberState::draining)});
+            }
+            auto r = client.get(target);
+            REQUIRE(r.status == 200);
+            collect(client, names);
+            target = next_of(r);
+        }
+        CHECK(names == all_names(d));
+        CHECK(d.hosts[drained].queries == before);  // nothing new to it from the moment of the news
+        CHECK(pages > 3);
+    }
+}
+
+TEST_CASE_TEMPLATE("a client that abandons page three", D, RestDeployment, PgDeployment) {
+    D d;
+    std::string target = kPage + "&limit=3";
+    {
+        Client client(d.loop, d.rest.local());
+        for (int page = 0; page < 2; ++page) target = next_of(client.get(target));
+        d.hosts[1].silent = d.hosts[2].silent = true;
+        int before = d.replica_queries();
+        client.send(http::write_request("GET", target, "test", {}));
+        REQUIRE(d.loop.until([&] { return d.replica_queries() == before + 1; }));
+    }
+    int sent = d.replica_queries() + d.hosts[0].queries;
+    REQUIRE(d.loop.until([&] { return d.hosts[1].cut + d.hosts[2].cut == 1 && d.core.idle(); }));
+    d.loop.settle();
+    CHECK(d.replica_queries() + d.hosts[0].queries == sent);
+    CHECK(d.rest.connections() == 0);
+}
+
+TEST_CASE_TEMPLATE("a lagging replica: every page is fresh enough or refused", D, RestDeployment,
+                   PgDeployment) {
+    for (bool checks : {true, false}) {
+        D d;
+        Client client(d.loop, d.rest.local());
+        REQUIRE(client.get(kPage).status == 200);
+        d.hosts[1].checks = d.hosts[2].checks = checks;
+        d.hosts[1].lag_ms = 60000;
+        int served = 0, refused = 0;
+        for (int i = 0; i < 20; ++i) {
+            if (i == 10) d.hosts[2].lag_ms = 60000;  // from here on none is fresh enough
+            auto r = client.get(kPage + "&wait_ms=700");
+            if (r.status == 200) {
+                ++served;
+                std::int64_t age = d.clock.to_unix(d.clock.now()) / 1000 -
+                                   std::stoll(std::string(*r.field("data-position")));
+                CHECK(age < 60000);
+                CHECK(i < 10);
+            } else {
+                ++refused;
+                CHECK((r.status == 503 || r.status == 504));
+            }
+        }
+        CHECK(served >= 1);
+        CHECK(refused >= 10);
+        CHECK(d.hosts[0].queries == 0);  // refused, never spilled to the primary
+    }
+}
+
+TEST_CASE("what was written through a pooler is seen by its session's pages, or they go to the primary") {
+    RestDeployment d;
+    d.hosts[1].lag_ms = d.hosts[2].lag_ms = 2500;
+    Client writer(d.loop, d.pg.local());
+    writer.send(pg::Writer()
+                    .startup("u", "d")
+                    .query("/* id=1,c=scan-write,t=a,d=3000,k=k1,cluster=3 */ INSERT INTO kv (name, content) "
+                           "VALUES ('abc', '\\x6869') RETURNING content")
+                    .take());
+    CHECK(writer.reply() == "RZ");
+    CHECK(writer.reply() == "TDCZ");
+    CHECK(writer.value == "hi");
+    CHECK(d.hosts[0].asked.at(0) == "PUT /v1/clusters/3/kv/abc");
+    Client reader(d.loop, d.rest.local());
+    REQUIRE(reader.get("/v1/clusters/3/kv/abc?class=own-order&session=abc").status == 200);
+    CHECK(reader.body == "hi");
+    CHECK(d.hosts[0].queries == 2);
+}
+
+TEST_CASE("an old client of the PostgreSQL wire reaches a REST host") {
+    RestDeployment d;
+    Client client(d.loop, d.pg.local());
+    client.send(pg::Writer().startup("u", "d").take());
+    CHECK(client.reply() == "RZ");
+    client.send(
+        pg::Writer()
+            .query("/* id=1,c=stock-view,t=a,d=3000,cluster=3 */ SELECT content FROM kv WHERE name = 'r104'")
+            .take());
+    CHECK(client.reply() == "TDCZ");
+    CHECK(client.value == "value4");
+    client.send(pg::Writer()
+                    .query("/* id=2,c=stock-view,t=a,d=3000,cluster=3 */ SELECT name, content FROM kv WHERE "
+                           "name > 'r110' ORDER BY name LIMIT 3")
+                    .take());
+    CHECK(client.reply() == "TDDDCZ");
+    client.send(
+        pg::Writer().query("/* id=3,c=stock-view,t=a,d=3000,cluster=3 */ SELECT sum(1) FROM kv").take());
+    CHECK(client.reply() == "EZ");  // it has no form there
+}
+
+TEST_CASE_TEMPLATE("refusals, failures and deadlines have their status", D, RestDeployment, PgDeployment) {
+    D d;
+    Client client(d.loop, d.rest.local());
+    REQUIRE(client.get(kPage).status == 200);
+    for (Host& h : d.hosts) h.silent = true;
+    auto r = client.get(kPage + "&wait_ms=300");
+    CHECK(r.status == 504);
+    CHECK(r.field("content-type") == "application/problem+json");
+    CHECK(json::parse(client.body)["status"] == 504);
+    for (Host& h : d.hosts) h.silent = false, h.refusing = true;
+    r = client.get(kPage + "&wait_ms=1500");
+    CHECK((r.status == 503 || r.status == 504));
+    CHECK(r.field("retry-after"));
+    // No member of that group is known: nothing may be sent.
+    CHECK(client.get("/v1/clusters/9/kv?class=stock-view&wait_ms=400").status >= 503);
+}
+
+TEST_CASE("a write that may have run and can't be repeated is failed, not refused") {
+    PgDeployment d;
+    Client client(d.loop, d.pg.local());
+    client.send(pg::Writer().startup("u", "d").take());
+    client.reply();
+    d.hosts[0].silent = true;
+    client.send(pg::Writer()
+                    .query("/* id=1,c=scan-write,t=a,d=400,k=1,cluster=3 */ INSERT INTO kv (name, content) "
+                           "VALUES ('a', '\\x00') RETURNING content")
+                    .take());
+    CHECK(client.reply() == "EZ");
+    CHECK(client.code == "57014");
+    CHECK(d.hosts[0].queries == 1);  // passed on once, as it stood but for `d`
+    std::string asked = d.hosts[0].asked.at(0);
+    CHECK(asked.find("/* id=1,c=scan-write,t=a,d=") == 0);
+    CHECK(asked.find(
+              ",k=1,cluster=3 */ INSERT INTO kv (name, content) VALUES ('a', '\\x00') RETURNING content") !=
+          std::string::npos);
+}
+
+TEST_CASE("few connections to members: all requests are answered all the same") {
+    PgDeployment d(3);
+    std::vector<std::unique_ptr<Client>> clients;
+    for (int i = 0; i < 30; ++i) {
+        clients.push_back(std::make_unique<Client>(d.loop, d.rest.local()));
+        clients.back()->send(http::write_request("GET", kPage, "test", {}));
+    }
+    int served = 0;
+    for (auto& client : clients) served += client->response().status == 200;
+    CHECK(served >= 10);
+    CHECK(d.core.links() <= 3);
+}
+
+}  // namespace
+}  // namespace indigovane::testing
