--- a/src/adapters/door.cpp
+++ b/src/adapters/door.cpp
@@ -15,6 +15,10 @@
     listener_.start();
 }
 
+std::string Door::address() const {
+    return local().address().to_string() + ":" + std::to_string(local().port());
+}
+
 void Door::stop_accepting() {
     listener_.drain();
     listener_.close();
--- a/src/adapters/door.hpp
+++ b/src/adapters/door.hpp
@@ -17,6 +17,7 @@
     void stop_accepting() override;
     void close_idle() override;
     std::size_t connections() const override { return sessions_.size(); }
+    std::string address() const override;
     transport::Endpoint local() const { return listener_.local(); }
 
     void touch(Session& session) { session.used = ++uses_; }
--- a/src/adapters/pg_front.hpp
+++ b/src/adapters/pg_front.hpp
@@ -12,6 +12,8 @@
             const Classes& classes, routing::Intake& intake, routing::Logger& logger)
         : Door(io, at, most), io_(io), classes_(classes), intake_(intake), logger_(logger) {}
 
+    std::string name() const override { return "pg"; }
+
   protected:
     std::shared_ptr<Session> open(boost::asio::ip::tcp::socket socket) override;
 
--- a/src/adapters/rest_front.hpp
+++ b/src/adapters/rest_front.hpp
@@ -31,6 +31,8 @@
     routing::Logger& logger() { return logger_; }
     std::string next_id();  // of a request that names none
 
+    std::string name() const override { return "rest"; }
+
   protected:
     std::shared_ptr<Session> open(boost::asio::ip::tcp::socket socket) override;
 
--- a/src/program/lifecycle.cpp
+++ b/src/program/lifecycle.cpp
@@ -90,7 +90,10 @@
         syslog_ = std::make_unique<adapters::SyslogSink>(io_, *config_.rest.syslog);
         log_.also([this](const std::string& line) { syslog_->send(line); });
     }
-    for (auto& front : fronts_) front->start();
+    for (auto& front : fronts_) {
+        front->start();
+        log_.log(Level::notice, "listening", "", {{"front", front->name()}, {"at", front->address()}});
+    }
     enter(Phase::serving);
 }
 
--- a/src/routing/interfaces.hpp
+++ b/src/routing/interfaces.hpp
@@ -51,6 +51,8 @@
     virtual void stop_accepting() = 0;  // what the machine has accepted is still taken in
     virtual void close_idle() = 0;      // closes between requests, now and from now on
     virtual std::size_t connections() const = 0;
+    virtual std::string name() const = 0;     // of its wire
+    virtual std::string address() const = 0;  // where it listens
 };
 
 // The core's side of a front.
--- /dev/null
+++ b/tests/program_test.sh
@@ -0,0 +1,56 @@
+#!/bin/bash
+# Starts the programs of deploy/balancer.toml as a person would: PROGRAM ADAPTER.
+# No answer is timed; the limits only end what hangs.
+set -u
+program=$1 adapter=$2
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+fail() { echo "FAILED: $*"; cat "$work"/* 2>/dev/null; exit 1; }
+
+# The adapter answers an empty batch and ends with its input.
+[ "$(printf 'SYNC timeMs=1.0 frame=1\nOVER_TO_YOU\n\n' | "$adapter")" = "EOR frame=1" ] || fail "adapter"
+
+cat > "$work/config.json" <<'J'
+{"name":"t1","listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"8c1f30d27a5be964",
+ "limits":{"cores":1.0,"memory_mb":192,"sockets":256},"known":{"rev":1,"all":true,"targets":[]},
+ "settings":{"azs":["a"],"allowed":{"connectTimeoutMs":250.0},"registryMode":"automatic",
+  "classes":[{"name":"stock-view","effect":"retryable","sloMs":250.0,"hardLimitMs":1000.0}]}}
+J
+echo '{"enabled":true,"listen":"127.0.0.1:0"}' > "$work/rest.json"
+
+expect() {  # expect STATUS TEXT COMMAND...: the exit status, and words on standard output or error
+    local status=$1 text=$2 got out
+    shift 2
+    out=$("$@" 2>&1)
+    got=$?
+    [ "$got" = "$status" ] || fail "'$*' ended with $got, not $status: $out"
+    case "$out" in *"$text"*) ;; *) fail "'$*' did not say '$text': $out" ;; esac
+}
+unset LB_CONFIG LB_NAME LB_LISTEN LB_DISCOVERY
+expect 0 "indigovane 0" "$program" version
+expect 0 "check-config" "$program" help
+expect 2 "unknown command" "$program" dance
+expect 2 "command is missing" "$program"
+expect 2 "LB_CONFIG" "$program" serve
+expect 2 "unrecognised option" "$program" serve --nonsense
+expect 1 "can't read" "$program" check-config --config "$work/none.json"
+echo '{"listen":"nowhere"' > "$work/bad.json"
+expect 1 "bad.json" "$program" serve --config "$work/bad.json"
+expect 0 "REST front on" "$program" check-config --config "$work/config.json" --rest "$work/rest.json"
+expect 0 "REST front off" "$program" check-config --config "$work/config.json"
+
+"$program" serve --config "$work/config.json" --rest "$work/rest.json" > "$work/log" 2>&1 &
+pid=$!
+for _ in $(seq 400); do grep -q "phase.*serving" "$work/log" && break; sleep 0.05; done
+grep -q "phase.*serving" "$work/log" || fail "it never served"
+port=$(sed -n 's/.*listening.*front="rest" at="127.0.0.1:\([0-9]*\)".*/\1/p' "$work/log")
+exec 3<>"/dev/tcp/127.0.0.1/$port" || fail "the REST front does not listen"
+printf 'GET /health HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n' >&3
+grep -q '"serving"' <&3 || fail "the REST front does not answer"
+exec 3>&-
+kill -TERM $pid
+wait $pid
+status=$?
+[ $status = 0 ] || fail "it ended with $status after SIGTERM"
+grep -q "phase.*stopped" "$work/log" || fail "it skipped a phase"
+echo "1 passed, 0 failed"
