--- /dev/null
+++ b/tests/service_test.cpp
@@ -0,0 +1,190 @@
+// What stands beside the requests: discovery's watch, the syslog sink, the configuration, the module's holds.
+#include "adapters/pg_backend.hpp"
+#include "adapters/syslog_sink.hpp"
+#include "program/config.hpp"
+#include "program/log.hpp"
+#include "protocol/syslog.hpp"
+#include "routing/catalog.hpp"
+#include "support/harness.hpp"
+#include "transport/endpoint.hpp"
+
+namespace indigovane::testing {
+namespace {
+
+namespace syslog = protocol::syslog;
+
+struct Agent : StandIn {
+    using StandIn::StandIn;
+    bool take(Peer& peer, transport::Buffer& in, std::string& out) override {
+        http::Request r;
+        std::size_t length = 0;
+        if (http::Parser({65536, 1 << 20}).request(in.view(), r, length) != http::Next::message) return false;
+        host_.asked.push_back(std::string(r.target));
+        in.consume(length);
+        if (replies.empty()) {
+            peer.waiting = true;  // silence
+        } else {
+            out += replies.front();
+            replies.erase(replies.begin());
+        }
+        return true;
+    }
+    static std::string reply(const std::string& body) { return http::write_response(200, {}, body, true); }
+    std::vector<std::string> replies;
+};
+
+TEST_CASE("the list is fetched, then watched, through silence, resets and nonsense") {
+    Loop loop;
+    NullLogger logger;
+    routing::Clock clock;
+    Host host;
+    Agent agent(loop, host);
+    adapters::PgBackend backend(loop.io);
+    routing::Core core(loop.io, clock, settings(), 1, {}, backend, logger);
+    routing::Catalog catalog(loop.io, *transport::read_endpoint(agent.address()), {"a"}, core, logger,
+                             {.hold = 10ms, .slack = 30ms, .retry = 1ms, .retry_most = 2ms, .connect = 5s});
+    loop.batch = [&] { core.run_batch(); };
+    agent.replies = {
+        Agent::reply(
+            R"({"rev":41,"all":true,"targets":[{"uid":"m","endpoint":"127.0.0.1:9","az":"a","pod_group":3,"state":"ready"},{"endpoint":"x"}]})"),
+        Agent::reply(R"({"rev":43,"all":false,"targets":[]})"),
+        "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", "nonsense\r\n\r\n", Agent::reply("{\"rev\":")};
+    catalog.follow();
+    auto asked = [&](std::size_t n) { return loop.until([&] { return host.asked.size() >= n; }); };
+    REQUIRE(asked(3));
+    CHECK(host.asked[0] == "/catalog/members");
+    CHECK(host.asked[1] == "/catalog/members?from=41&hold_ms=10");
+    CHECK(host.asked[2] == "/catalog/members?from=43&hold_ms=10");
+    REQUIRE(asked(6));
+    CHECK(host.asked[4] == host.asked[2]);       // it goes on from what it has
+    CHECK(host.asked[5] == "/catalog/members");  // after a list that can't be read, from the start
+    REQUIRE(asked(8));                           // silence is given up
+    agent.drop_all();
+    REQUIRE(asked(9));  // and so is a reset
+    CHECK(catalog.told());
+}
+
+TEST_CASE("lists: what is not known is passed over, what is no list is refused") {
+    auto list = routing::read_member_list(
+        json::parse(
+            R"({"rev":2,"all":true,"new":1,"targets":[{"uid":"a","state":"draining","az":"z","recovery":"off","boot_ms":17.5},{"uid":"b","state":"gone"},7]})"),
+        {"y", "z"});
+    REQUIRE(list.members.size() == 2);
+    CHECK(list.members[0].state == starlingpond::MemberState::draining);
+    CHECK(list.members[0].primary);
+    CHECK(list.members[0].zone == 1);
+    CHECK(list.members[0].boot_unix_ms == 17);
+    CHECK(list.members[1].state == starlingpond::MemberState::gone);
+    for (const char* bad :
+         {"[]", "{}", R"({"targets":1})", R"({"targets":[{"uid":1}]})", R"({"rev":"x","targets":[]})"})
+        CHECK_THROWS_AS(routing::read_member_list(json::parse(bad), {}), std::runtime_error);
+}
+
+struct Collector : StandIn {
+    using StandIn::StandIn;
+    bool take(Peer&, transport::Buffer& in, std::string&) override {
+        std::string_view m;
+        std::size_t length = 0;
+        if (syslog::next_frame(in.view(), 65536, m, length) != syslog::Next::message) return false;
+        if (auto line = syslog::read(m)) lines.push_back(*line);
+        in.consume(length);
+        return true;
+    }
+    std::vector<syslog::Message> lines;
+};
+
+TEST_CASE("log lines reach a syslog collector as they were, also after it was away") {
+    Loop loop;
+    Host host;
+    Collector collector(loop, host);
+    adapters::SyslogSink sink(loop.io, *transport::read_endpoint(collector.address()), 1ms);
+    std::vector<std::string> out;
+    program::Log log("n1", "7", [&](const std::string& line) { out.push_back(line); });
+    log.also([&](const std::string& line) { sink.send(line); });
+    log.log(routing::Level::error, "first", "a \"quoted\" ]text", {{"key", "v\"]\\"}});
+    REQUIRE(loop.until([&] { return collector.lines.size() == 1; }));
+    CHECK(collector.lines[0] == *syslog::read(out.at(0)));
+    CHECK(collector.lines[0].data[0].parameters[0].second == "v\"]\\");
+    CHECK(collector.lines[0].severity == syslog::Severity::error);
+    collector.drop_all();
+    loop.settle();
+    log.log(routing::Level::info, "second", "b", {});
+    REQUIRE(loop.until([&] { return collector.lines.size() == 2; }));
+    for (int i = 0; i < 5000; ++i) log.log(routing::Level::info, "many", "c", {});
+    CHECK(out.size() < 200);  // a flood is cut
+    for (std::size_t i = 0; i < 2 * adapters::SyslogSink::kQueued; ++i) sink.send("x");
+    CHECK(sink.dropped() > 0);
+}
+
+const char* kConfig =
+    R"({"name":"n3","listen":"127.0.0.1:5432","discovery":"127.0.0.2:8500","seed":"8c1f30d27a5be964",
+ "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":{"rev":1,"all":true,"targets":[{"uid":"a","az":"y"}]},
+ "settings":{"azs":["x","y"],"fleetSize":3,"allowed":{"probing":true,"idleCloseMs":20000.0,"connectTimeoutMs":100.0,"tryLimit":10},
+ "familyInfo":{"consistency":["recent","own_writes","update"],"oldestDataMs":[3000.0,0.0,0.0],"sessionMarks":"router"},
+ "classes":[{"name":"stock view","effect":"retryable","hardLimitMs":1000.0},{"name":"own","hardLimitMs":600.5},{"name":"w","effect":"dedup","group":"cell"}]}})";
+
+TEST_CASE("the configuration says what the simulator's first message says") {
+    auto c = program::parse_platform_config(kConfig);
+    CHECK(c.name == "n3");
+    CHECK(c.seed == 0x8c1f30d27a5be964);
+    CHECK(c.settings.fleet_size == 3u);
+    CHECK(c.settings.attempts == 10u);
+    CHECK(c.settings.classes.at(0).bound == starlingpond::Duration(3s));
+    CHECK(c.settings.classes.at(1).consistency == starlingpond::Consistency::session);
+    CHECK(c.settings.classes.at(1).deadline == starlingpond::Duration(600500us));
+    CHECK(c.classes.find("stock view")->deadline == routing::Duration(1s));
+    CHECK(c.classes.find("w")->write);
+    CHECK(c.idle_limit == routing::Duration(20s));
+    CHECK(c.known.members.at(0).zone == 1);
+    CHECK(!c.rest.enabled);
+    program::parse_rest_config(
+        R"({"enabled":true,"listen":"[::1]:80","members":"rest","syslog":"127.0.0.1:601"})", c);
+    CHECK(c.rest.enabled);
+    CHECK(c.members == program::Wire::rest);
+    for (const char* bad :
+         {"", "[]", "{}", R"({"listen":"x"})", R"({"listen":"127.0.0.1:1","discovery":"127.0.0.1:99999"})"})
+        CHECK_THROWS_AS(program::parse_platform_config(bad), program::ConfigError);
+    for (const char* bad : {"", "[]", R"({"members":"x"})", R"({"page_size":0})", R"({"page_size":900})",
+                            R"({"syslog":"10.0.0.1:601"})", R"({"page_size":"many"})"})
+        CHECK_THROWS_AS(program::parse_rest_config(bad, c), program::ConfigError);
+}
+
+TEST_CASE(
+    "the module: a write without a primary is refused at 45% of its time; a withdrawn one is cancelled") {
+    using namespace starlingpond;
+    Time now{100s};
+    Brain brain(settings(), 3, now);
+    Actions actions;
+    auto run = [&](const Event& e) { brain.handle(now, e, actions); };
+    List list{ListKind::full, {}};
+    list.entries.push_back({MemberId{1}, GroupId{1}, ZoneId{}, MemberState::draining, true, {}});
+    list.entries.push_back({MemberId{2}, GroupId{1}, ZoneId{}, MemberState::ready, false, {}});
+    run(list);
+    Request write;
+    write.id = RequestId{1}, write.cls = ClassId{2}, write.group = GroupId{1}, write.patience = 1s,
+    write.session = SessionKey{1};
+    run(write);
+    std::optional<Duration> refused;
+    for (int ms = 0; ms < 1000 && !refused; ms += 5) {
+        now = Time(100s) + std::chrono::milliseconds(ms);
+        run(Timer{TimerId{3}});
+        for (auto& a : actions)
+            if (auto* r = std::get_if<Refuse>(&a)) {
+                refused = now - Time(100s);
+                CHECK(r->retry_after);
+                CHECK(!r->deadline);
+            }
+    }
+    CHECK(refused == Duration(450ms));
+    list.entries[0].state = MemberState::ready;
+    run(list);
+    write.id = RequestId{2};
+    run(write);
+    actions.clear();
+    run(Withdrawn{RequestId{2}});
+    REQUIRE(actions.size() == 1);
+    CHECK(std::get<Cancel>(actions[0]).attempt == 0);
+}
+
+}  // namespace
+}  // namespace indigovane::testing
