Bound the memory of items in hand by one budget: what goes beyond is turned away at once

A quarter of memory_mb is now the budget of all items; beyond it fronts answer 53300 or 503 with a retry-after.

--- a/src/adapters/pg_front.cpp
+++ b/src/adapters/pg_front.cpp
@@ -172,6 +172,14 @@
         if (statement.fields.empty() && local(statement.body)) return;
         Item item;
         if (auto rejection = read_item(sql, statement, item)) return reject(*rejection);
+        // The item keeps the statement and what was read from it.
+        if (!has_room(2 * sql.size())) {
+            write(pg::Writer()
+                      .error("ERROR", pg::sqlstate::too_many_connections, "too much is in hand", "250")
+                      .ready()
+                      .take());
+            return;
+        }
         ask(std::move(item));
     }
 
--- a/src/adapters/rest_front.cpp
+++ b/src/adapters/rest_front.cpp
@@ -78,6 +78,9 @@
             reply(*problem, more);
         } else if (health_) {
             respond(200, {{"Content-Type", "application/json"}}, json{{"status", "serving"}}.dump());
+        } else if (!has_room(item.name.size())) {
+            reply({503, "refused", "Too much is in hand", "trying again is harmless"},
+                  {{"Retry-After", "1"}});
         } else {
             ask(std::move(item));
         }
--- a/src/adapters/session.hpp
+++ b/src/adapters/session.hpp
@@ -36,6 +36,7 @@
     virtual void on_half_request() {}  // the patience with one is over
 
     void ask(routing::Item item);  // one request; served() or ended() follows
+    bool has_room(std::size_t bytes) const { return intake_.has_room(bytes); }
     void answered(std::string bytes);
     void write(std::string bytes) { connection_->write(std::move(bytes)); }
     void leave();  // what is written still goes out
--- a/src/program/lifecycle.cpp
+++ b/src/program/lifecycle.cpp
@@ -21,6 +21,8 @@
 // coming or going.
 constexpr std::size_t kSpareSockets = 40;
 constexpr double kMemberShare = 0.3;  // of the descriptors
+constexpr double kItemShare = 0.25;   // of the memory, for items in hand; the rest is for what they are read
+                                      // from and answered with
 }  // namespace
 
 const char* name(Phase phase) {
@@ -62,6 +64,7 @@
     limits.connect_timeout = limits.probe_timeout = config_.connect_timeout;
     limits.idle_limit = config_.idle_limit;
     limits.links = std::size_t(double(usable) * kMemberShare);
+    limits.bytes = std::size_t(double(config_.memory_mb) * kItemShare * 1048576);
     std::size_t rest_clients =
         config_.rest.enabled ? std::min(config_.rest.connections, (usable - limits.links) / 2) : 0;
     std::size_t clients = usable - limits.links - rest_clients;
--- a/src/routing/core.cpp
+++ b/src/routing/core.cpp
@@ -56,6 +56,8 @@
     q.repeat = item.repeat;
     Entry& entry = entries_[id];
     entry.deadline = now + item.patience;
+    entry.bytes = item.statement.size() + item.name.size() + (item.content ? item.content->size() : 0);
+    held_bytes_ += entry.bytes;
     entry.item = std::move(item);
     entry.responder = &responder;
     inbox_.push_back(q);
@@ -215,7 +217,10 @@
     // action that crosses the end of its request must still find its attempts numbered as the module does.
     for (RequestId id : told) {
         auto it = entries_.find(id);
-        if (it != entries_.end() && !it->second.responder && !it->second.out()) entries_.erase(it);
+        if (it != entries_.end() && !it->second.responder && !it->second.out()) {
+            held_bytes_ -= it->second.bytes;
+            entries_.erase(it);
+        }
     }
     if (!done_.empty()) wake();
     arm();
--- a/src/routing/core.hpp
+++ b/src/routing/core.hpp
@@ -16,6 +16,7 @@
     Duration connect_timeout = std::chrono::milliseconds(250);
     Duration probe_timeout = std::chrono::milliseconds(250);
     Duration idle_limit = std::chrono::seconds(30);  // members close a connection that stood idle so long
+    std::size_t bytes = 64 << 20;                    // of items in hand, all together
     std::size_t links = 256;                         // connections to members, all together
 };
 
@@ -26,6 +27,7 @@
     ~Core();
 
     RequestId accept(Item item, Responder& responder) override;
+    bool has_room(std::size_t bytes) const override { return held_bytes_ + bytes <= limits_.bytes; }
     void withdraw(RequestId id) override;
     void list(starlingpond::ListKind kind, const std::vector<MemberInfo>& members);
     void on_follow_list(std::function<void()> follow) { follow_ = std::move(follow); }
@@ -48,6 +50,7 @@
         Item item;
         Responder* responder = nullptr;  // none: the request has its final answer, or its client is gone
         Time deadline{};
+        std::size_t bytes = 0;
         std::vector<Attempt> attempts;
         bool out() const;
     };
@@ -110,7 +113,7 @@
     boost::asio::steady_timer timer_;
     std::optional<Time> armed_;
     Time swept_{};
-    std::size_t links_ = 0;
+    std::size_t links_ = 0, held_bytes_ = 0;
     bool woken_ = false, starved_ = false;
 };
 
--- a/src/routing/interfaces.hpp
+++ b/src/routing/interfaces.hpp
@@ -59,6 +59,8 @@
 class Intake {
   public:
     virtual RequestId accept(Item item, Responder& responder) = 0;
+    // Whether an item of that many bytes may be taken in: beyond the memory's budget a front turns it away.
+    virtual bool has_room(std::size_t bytes) const = 0;
     virtual void withdraw(RequestId id) = 0;  // the client has gone: the responder hears nothing more
 
   protected:
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -18,6 +18,7 @@
         if (item.id[0] != 'h') boost::asio::post(loop.io, [this, id, item] { answer(id, item); });
         return id;
     }
+    bool has_room(std::size_t bytes) const override { return bytes <= room; }
     void withdraw(routing::RequestId id) override { withdrawn += int(open.erase(id)); }
     void answer(routing::RequestId id, const routing::Item& item) {
         auto it = open.find(id);
@@ -44,6 +45,7 @@
     routing::Item last;
     std::uint64_t count = 0;
     int withdrawn = 0;
+    std::size_t room = 1 << 20;
 };
 
 template <typename Front>
@@ -316,6 +318,24 @@
     }
 }
 
+TEST_CASE("what the memory has no room for is turned away, and the connection kept") {
+    PgRig rig(8);
+    Client client(rig.loop, rig.front.local());
+    rig.intake.room = 10;
+    client.send(pg::Writer().startup("u", "d").query(sql("s1")).take());
+    client.reply();
+    CHECK(client.reply() == "EZ");
+    CHECK(client.code == "53300");
+    CHECK(rig.intake.count == 0);
+    rig.intake.room = 1000;
+    client.send(pg::Writer().query(sql("s1")).take());
+    CHECK(client.reply() == "TDCZ");
+    RestRig rest(8, adapters::RestOptions{});
+    Client reader(rest.loop, rest.front.local());
+    rest.intake.room = 0;
+    CHECK(reader.get("/v1/clusters/1/kv/n?class=stock-view").status == 503);
+}
+
 TEST_CASE("rest: a page ends with its cursor, and the last one with none") {
     RestRig rig(8, adapters::RestOptions{.page_size = 2, .page_size_most = 10});
     Client client(rig.loop, rig.front.local());
--- a/tests/walk_test.cpp
+++ b/tests/walk_test.cpp
@@ -241,6 +241,15 @@
           std::string::npos);
 }
 
+TEST_CASE("memory for items is given back when they are over") {
+    PgDeployment d;
+    CHECK(!d.core.has_room(std::size_t(64 << 20) + 1));
+    Client client(d.loop, d.rest.local());
+    for (int i = 0; i < 5; ++i) CHECK(client.get(kPage).status == 200);
+    REQUIRE(d.loop.until([&] { return d.core.idle(); }));
+    CHECK(d.core.has_room(64 << 20));
+}
+
 TEST_CASE("few connections to members: all requests are answered all the same") {
     PgDeployment d(3);
     std::vector<std::unique_ptr<Client>> clients;
