--- a/src/routing/core.cpp
+++ b/src/routing/core.cpp
@@ -156,7 +156,9 @@
 }
 
 // Guards the age of data whatever a member does: an answer that tells a position short of what the read needs
-// counts as a miss. Positions are rounded down and commits up, so that each may be off by one.
+// counts as a miss. Hosts that check for themselves still give such answers: to a session read that follows
+// its session's write within 100 ms, and to a bounded read that waited there. Positions are rounded down and
+// commits up, so that each may be off by one.
 bool Core::stale(const Job& job, const Result& result) const {
     constexpr std::int64_t rounding = 2;
     return result.status == Status::ok && job.needs && result.position_unix_us &&
