--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -37,6 +37,7 @@
 constexpr Duration kUseMemory = seconds(1);     // over which a group's use is averaged
 constexpr double kAskPings = 3;  // an asked member that takes so many pings longer is passed over
 constexpr Duration kAskLeast = milliseconds(5);
+constexpr Duration kMemberWait = milliseconds(50);  // members that wait for the log do so about this long
 constexpr int kSessionAsks = 2;  // replicas asked for a session read before it goes to the primary
 
 // Windows: how many requests this proxy has out at a member.
@@ -642,6 +643,13 @@
         return m.position && now - m.told_at < kReportAge && m.told_at - *m.position > bound + kReportAge;
     }
 
+    // Even if it has applied the log at full pace since it was last heard of, and waits for the rest, the
+    // member won't reach that position in time.
+    bool falls_short(const Member& m, Time need) const {
+        return m.position && now - m.told_at < kReportAge &&
+               *m.position + (now - m.told_at) + kMemberWait < need;
+    }
+
     Choice choose(const Group& g, Live& r) {
         if (r.for_primary()) return choose_primary(g, r);
         // Mode: replicas. Health drops members in trouble, but when it would drop all of them, what looks
@@ -692,7 +700,9 @@
         if (checked() && r.attempts.empty()) {
             Member* least = nullptr;
             for (Member* m : hopeful)
-                if (!least || m->position.value_or(Time{}) > least->position.value_or(Time{})) least = m;
+                if (!(r.token > Time{} && falls_short(*m, r.token)) &&
+                    (!least || m->position.value_or(Time{}) > least->position.value_or(Time{})))
+                    least = m;
             if (least) return {Verdict::member, least};
         } else if (!checked() && may_probe() && (bounded || r.asks < kSessionAsks)) {
             if (r.asked && r.asked->probing &&
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -186,5 +186,41 @@
     CHECK(std::get<Cancel>(actions[0]).attempt == 0);
 }
 
+TEST_CASE("the module: a session read passes over replicas that can't reach its token in time") {
+    using namespace starlingpond;
+    for (auto [behind, expected] : {std::pair{20ms, MemberId{2}}, {2000ms, MemberId{1}}}) {
+        Time now{100s};
+        Brain brain(settings(), 3, now);
+        Actions actions;
+        auto run = [&](const Event& e) {
+            actions.clear();
+            brain.handle(now, e, actions);
+        };
+        List list{ListKind::full, {}};
+        list.entries.push_back({MemberId{1}, GroupId{1}, ZoneId{}, MemberState::ready, true, {}});
+        list.entries.push_back({MemberId{2}, GroupId{1}, ZoneId{}, MemberState::ready, false, {}});
+        run(list);
+        Request q;
+        q.id = RequestId{1}, q.cls = ClassId{2}, q.group = GroupId{1}, q.patience = 1s,
+        q.session = SessionKey{1};
+        run(q);
+        now += 50ms;
+        Outcome o;
+        o.id = q.id, o.member = MemberId{1}, o.status = Status::ok, o.finished = true, o.role = Role::primary;
+        o.position = now;  // the commit
+        run(o);
+        ProbeResult p;
+        p.member = MemberId{2}, p.status = Status::ok;
+        p.report.position = now - behind;
+        run(p);
+        q.id = RequestId{2}, q.cls = ClassId{1};
+        run(q);
+        auto sent = std::find_if(actions.begin(), actions.end(),
+                                 [](const Action& a) { return std::holds_alternative<Send>(a); });
+        REQUIRE(sent != actions.end());
+        CHECK(std::get<Send>(*sent).member == expected);
+    }
+}
+
 }  // namespace
 }  // namespace indigovane::testing
