SIGHUP reads the configuration again and moves discovery, instead of ending the program

Cause: Lifecycle::start listened for SIGTERM and SIGINT only. Catalog::move_to drops connection and revision and asks the new address for its whole list at once; the old list stays until then. A ring of a timer that was already queued when the address moved would have ended the new call: timers are numbered. A bad file is logged and changes nothing. Test: random moves against two agents (fails when the old revision is kept); program_test sends SIGHUP twice.

--- a/src/program/config.cpp
+++ b/src/program/config.cpp
@@ -126,6 +126,8 @@
         }
         c.classes = adapters::Classes(std::move(classes));
         if (root.contains("known")) c.known = routing::read_member_list(root["known"], c.zones);
+        for (const char* fleeting : {"discovery", "known", "seed"}) root.erase(fleeting);
+        c.fixed = root.dump(-1, ' ', true, json::error_handler_t::replace);
     } catch (const ConfigError&) {
         throw;
     } catch (const std::exception& error) {
--- a/src/program/config.hpp
+++ b/src/program/config.hpp
@@ -42,6 +42,7 @@
                       longest_deadline{};
     Wire members = Wire::pg;  // how members are spoken to
     RestConfig rest;
+    std::string fixed;  // the text of all that only a start takes in, to tell whether it has changed
 };
 
 // Reads $LB_CONFIG's file; LB_NAME, LB_LISTEN and LB_DISCOVERY fill in what it leaves out.
--- a/src/program/lifecycle.cpp
+++ b/src/program/lifecycle.cpp
@@ -31,6 +31,8 @@
             return "starting";
         case Phase::serving:
             return "serving";
+        case Phase::reloading:
+            return "reloading";
         case Phase::lingering:
             return "lingering";
         case Phase::draining:
@@ -41,8 +43,13 @@
     return "";
 }
 
-Lifecycle::Lifecycle(const Config& config, Log& log)
-    : config_(config), log_(log), signals_(io_), timer_(io_) {}
+Lifecycle::Lifecycle(const Config& config, std::function<Config()> reread, Log& log)
+    : config_(config),
+      reread_(std::move(reread)),
+      log_(log),
+      stop_signals_(io_, SIGTERM, SIGINT),
+      reload_signals_(io_, SIGHUP),
+      timer_(io_) {}
 
 Lifecycle::~Lifecycle() {
     log_.also({});
@@ -54,11 +61,8 @@
 }
 
 void Lifecycle::start() {
-    signals_.add(SIGTERM);
-    signals_.add(SIGINT);
-    signals_.async_wait([this](const boost::system::error_code& ec, int) {
-        if (!ec) on_signal();
-    });
+    await_stop();
+    await_reload();
     std::size_t usable = config_.sockets - kSpareSockets;
     CoreLimits limits;
     limits.connect_timeout = limits.probe_timeout = config_.connect_timeout;
@@ -106,14 +110,49 @@
         io_.run_one();
         io_.poll();
         core_->run_batch();
+        if (phase_ == Phase::reloading && catalog_->told()) enter(Phase::serving);
         if (phase_ == Phase::draining) check_drained();
         if (io_.stopped()) io_.restart();
     }
     return 0;
 }
 
-void Lifecycle::on_signal() {
-    if (phase_ != Phase::serving) return;
+void Lifecycle::await_stop() {
+    stop_signals_.async_wait([this](const boost::system::error_code& ec, int) {
+        if (!ec) on_stop();
+    });
+}
+
+void Lifecycle::await_reload() {
+    reload_signals_.async_wait([this](const boost::system::error_code& ec, int) {
+        if (ec) return;
+        on_reload();
+        await_reload();
+    });
+}
+
+// SIGHUP. Only discovery's address moves; what it tells from then on is followed as ever, while stopping too:
+// members still drain then. Nothing of a file that can't be read counts. `known` is not taken from it: it is
+// older than what the program has heard, and could bring back a member that is gone.
+void Lifecycle::on_reload() {
+    try {
+        Config fresh = reread_();
+        catalog_->move_to(fresh.discovery);
+        log_.log(Level::notice, "reload", "the configuration has been read again",
+                 {{"discovery",
+                   fresh.discovery.address().to_string() + ":" + std::to_string(fresh.discovery.port())}});
+        if (fresh.fixed != config_.fixed)
+            log_.log(Level::warning, "reload", "other changes than discovery's take effect at the next start",
+                     {});
+    } catch (const std::exception& error) {
+        log_.log(Level::error, "reload", error.what(), {{"kept", "the old configuration"}});
+        return;
+    }
+    if (phase_ == Phase::serving && !catalog_->told()) enter(Phase::reloading);
+}
+
+void Lifecycle::on_stop() {
+    if (phase_ != Phase::serving && phase_ != Phase::reloading) return;
     enter(Phase::lingering);
     timer_.expires_after(kLinger);
     timer_.async_wait([this](const boost::system::error_code& ec) {
--- a/src/program/lifecycle.hpp
+++ b/src/program/lifecycle.hpp
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <memory>
 #include <vector>
 
@@ -18,6 +19,7 @@
 enum class Phase {
     starting,   // nothing listens yet
     serving,    // all is as it should be
+    reloading,  // serving, with a new configuration whose discovery has not told its list yet
     lingering,  // told to stop: still takes in and serves what comes, for a moment
     draining,   // takes nothing new; finishes what it has
     stopped
@@ -26,7 +28,8 @@
 
 class Lifecycle {
   public:
-    Lifecycle(const Config& config, Log& log);
+    // `reread` reads the configuration again, as it is by then; it throws ConfigError where it is bad.
+    Lifecycle(const Config& config, std::function<Config()> reread, Log& log);
     ~Lifecycle();
     int run();  // returns the exit status
     Phase phase() const { return phase_; }
@@ -34,10 +37,14 @@
   private:
     void start();
     void enter(Phase phase);
-    void on_signal();
+    void await_stop();
+    void await_reload();
+    void on_stop();
+    void on_reload();
     void check_drained();
 
     const Config& config_;
+    std::function<Config()> reread_;
     Log& log_;
     boost::asio::io_context io_{1};
     routing::Clock clock_;
@@ -47,7 +54,7 @@
     std::unique_ptr<routing::Core> core_;
     std::unique_ptr<routing::Catalog> catalog_;
     std::vector<std::unique_ptr<routing::Front>> fronts_;
-    boost::asio::signal_set signals_;
+    boost::asio::signal_set stop_signals_, reload_signals_;
     boost::asio::steady_timer timer_;
     routing::Time drain_until_{};
 };
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -16,7 +16,7 @@
 constexpr const char* kUsage =
     "usage: indigovane COMMAND [options]\n"
     "\n"
-    "  serve         serve clients until SIGTERM\n"
+    "  serve         serve clients until SIGTERM; SIGHUP reads the configuration again\n"
     "  check-config  read the configuration, say what it means, and exit\n"
     "  version       print the version\n"
     "  help          print this\n"
@@ -47,11 +47,13 @@
 int serve(const std::vector<std::string>& arguments) {
     program::Config config = configure(arguments);
     std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGHUP, SIG_IGN);  // until the loop listens for it
     program::Log log(config.name, std::to_string(::getpid()), [](const std::string& line) {
         std::fputs((line + "\n").c_str(), stdout);
         std::fflush(stdout);
     });
-    program::Lifecycle lifecycle(config, log);
+    program::Lifecycle lifecycle(
+        config, [&] { return configure(arguments); }, log);
     return lifecycle.run();
 }
 
--- a/src/routing/catalog.cpp
+++ b/src/routing/catalog.cpp
@@ -66,6 +66,33 @@
     call();
 }
 
+void Catalog::move_to(const transport::Endpoint& at) {
+    if (at == at_) return;  // the watch goes on
+    at_ = at;
+    disconnect();
+    revision_.reset();
+    told_ = false;
+    backoff_ = timing_.retry;
+    if (following_) call();
+}
+
+void Catalog::disconnect() {
+    if (connection_) connection_->close();
+    connection_.reset();
+    called_ = false;
+    timer_.cancel();
+    ++timers_;
+}
+
+// Guards against a ring that was already on its way when its timer was cancelled or set again: it would end
+// the next call, at another address even.
+void Catalog::set_timer(std::chrono::milliseconds after, void (Catalog::*then)()) {
+    timer_.expires_after(after);
+    timer_.async_wait([this, then, number = ++timers_](const transport::error_code& ec) {
+        if (!ec && number == timers_) (this->*then)();
+    });
+}
+
 void Catalog::call() {
     if (!connection_) {
         parser_ = protocol::http::Parser({.head = 16384, .body = 4 << 20});
@@ -82,22 +109,14 @@
     connection_->write(protocol::http::write_request(
         "GET", target, at_.address().to_string() + ":" + std::to_string(at_.port()), {}));
     // A silent agent keeps its connection open: only the clock tells.
-    timer_.expires_after(revision_ ? timing_.hold + timing_.slack : timing_.slack);
-    timer_.async_wait([this](const transport::error_code& ec) {
-        if (!ec) lost("no answer");
-    });
+    set_timer(revision_ ? timing_.hold + timing_.slack : timing_.slack, &Catalog::no_answer);
 }
 
 void Catalog::lost(const char* why) {
     logger_.log(Level::warning, "discovery", "the list of members can't be followed now", {{"why", why}});
-    if (connection_) connection_->close();
-    connection_.reset();
-    called_ = false;
-    timer_.expires_after(backoff_);
+    disconnect();
+    set_timer(backoff_, &Catalog::call);
     backoff_ = std::min(backoff_ * 2, timing_.retry_most);
-    timer_.async_wait([this](const transport::error_code& ec) {
-        if (!ec) call();
-    });
 }
 
 void Catalog::on_connected() {
@@ -116,6 +135,7 @@
         if (response.status >= 200) {
             called_ = false;
             timer_.cancel();
+            ++timers_;
             take(response);
         }
         if (connection_ == keep) in.consume(length);
@@ -141,13 +161,8 @@
         revision_.reset();
         return lost(error.what());
     }
-    if (response.keep_alive) {
-        call();
-    } else {
-        connection_->close();
-        connection_.reset();
-        call();
-    }
+    if (!response.keep_alive) disconnect();
+    call();
 }
 
 }  // namespace indigovane::routing
--- a/src/routing/catalog.hpp
+++ b/src/routing/catalog.hpp
@@ -35,10 +35,16 @@
 
     void seed(const MemberList& known);  // the list as last held; it may be old
     void follow();                       // from now on; called again: at once, if a retry is due
-    bool told() const { return told_; }
+    // Goes on at another address, at once and with the whole list: revisions mean nothing there. Until that
+    // list has come the members are those last told; called again before that, only the last address counts.
+    void move_to(const transport::Endpoint& at);
+    bool told() const { return told_; }  // the address of now has told its whole list
 
   private:
     void call();
+    void disconnect();
+    void set_timer(std::chrono::milliseconds after, void (Catalog::*then)());
+    void no_answer() { lost("no answer"); }
     void lost(const char* why);
     void take(const protocol::http::Response& response);
     void on_connected() override;
@@ -54,6 +60,7 @@
     std::shared_ptr<transport::Connection> connection_;
     protocol::http::Parser parser_;
     boost::asio::steady_timer timer_;
+    std::uint64_t timers_ = 0;  // set so far: a timer that has rung may be out of date when it is heard
     std::chrono::milliseconds backoff_;
     std::optional<std::int64_t> revision_;  // none: the whole list comes next
     bool following_ = false, called_ = false, told_ = false;
--- a/tests/program_test.sh
+++ b/tests/program_test.sh
@@ -48,6 +48,20 @@
 printf 'GET /health HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n' >&3
 grep -q '"serving"' <&3 || fail "the REST front does not answer"
 exec 3>&-
+said() {  # said TEXT: the log comes to hold it
+    for _ in $(seq 400); do grep -q "$1" "$work/log" && return; sleep 0.05; done
+    fail "it never said '$1'"
+}
+# SIGHUP: a bad file changes nothing, a good one moves to its discovery; neither ends the program.
+cp "$work/config.json" "$work/first.json"
+echo '{"listen":' > "$work/config.json"
+kill -HUP $pid
+said 'reload.*kept="the old configuration"'
+sed 's/127.0.0.1:9"/127.0.0.1:10"/; s/"sockets":256/"sockets":300/' "$work/first.json" > "$work/config.json"
+kill -HUP $pid
+said 'reload.*discovery="127.0.0.1:10"'
+said 'take effect at the next start'
+said 'phase.*reloading'
 kill -TERM $pid
 wait $pid
 status=$?
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -64,6 +64,62 @@
     CHECK(catalog.told());
 }
 
+// What stands for the catalog's connection: where it goes, and whether that address has told its list.
+TEST_CASE("a new address of discovery is asked for its whole list at once, whatever the watch is doing") {
+    Dice dice(31);
+    for (int round = 0; round < 20; ++round) {
+        Loop loop;
+        NullLogger logger;
+        routing::Clock clock;
+        Host hosts[2];
+        Agent agents[2] = {{loop, hosts[0]}, {loop, hosts[1]}};
+        transport::Endpoint at[2] = {*transport::read_endpoint(agents[0].address()),
+                                     *transport::read_endpoint(agents[1].address())};
+        adapters::PgBackend backend(loop.io);
+        routing::Core core(loop.io, clock, settings(), 1, {}, backend, logger);
+        routing::Catalog catalog(loop.io, at[0], {"a"}, core, logger,
+                                 {.hold = 2ms, .slack = 5ms, .retry = 1ms, .retry_most = 2ms, .connect = 5s});
+        loop.batch = [&] { core.run_batch(); };
+        catalog.follow();
+        int now = 0, revision[2] = {100, 900};
+        for (int step = 0; step < 40; ++step) {
+            auto& asked = hosts[now].asked;
+            switch (dice.below(5)) {
+                case 0: {  // the address moves: in a call, in a pause, while connecting, twice in a row
+                    std::size_t before = hosts[now = 1 - now].asked.size();
+                    agents[now].replies.clear();
+                    catalog.move_to(at[now]);
+                    CHECK(!catalog.told());
+                    if (dice.below(3) == 0) break;
+                    REQUIRE(loop.until([&] { return hosts[now].asked.size() > before; }));
+                    CHECK(hosts[now].asked[before] == "/catalog/members");
+                    break;
+                }
+                case 1:  // the same address: the watch goes on
+                    catalog.move_to(at[now]);
+                    break;
+                case 2: {  // its list is told, and watched from there
+                    agents[now].replies = {Agent::reply(R"({"rev":)" + std::to_string(++revision[now]) +
+                                                        R"(,"all":true,"targets":[]})")};
+                    REQUIRE(loop.until([&] { return agents[now].replies.empty() && catalog.told(); }));
+                    std::size_t before = asked.size();
+                    REQUIRE(loop.until([&] { return asked.size() > before; }));
+                    CHECK(asked.back() ==
+                          "/catalog/members?from=" + std::to_string(revision[now]) + "&hold_ms=2");
+                    break;
+                }
+                case 3:
+                    agents[now].drop_all();
+                    break;
+                case 4:
+                    loop.settle();
+                    break;
+            }
+            agents[1 - now].drop_all();  // the old one closes what it has left
+        }
+    }
+}
+
 TEST_CASE("lists: what is not known is passed over, what is no list is refused") {
     auto list = routing::read_member_list(
         json::parse(
