--- a/src/adapters/door.cpp
+++ b/src/adapters/door.cpp
@@ -1,5 +1,6 @@
 #include "adapters/door.hpp"
 
+#include <utility>
 #include <vector>
 
 namespace indigovane::adapters {
@@ -31,8 +32,10 @@
 }
 
 // A connection that the machine has accepted may carry a request already, so none is left to wait while the
-// descriptors last: at the limit the session that has stood between requests longest gives way. Its client
-// may open another. When every session is busy, what comes waits in the kernel's queue.
+// descriptors last: at the limit a session between requests gives way, first of those that have never asked
+// anything, then of the others, the longest idle before all. So clients that only connect displace each other
+// and not those who are served. The client may open another. When every session is busy, what comes waits in
+// the kernel's queue.
 void Door::take(boost::asio::ip::tcp::socket socket) {
     auto session = open(std::move(socket));
     sessions_.insert(session);
@@ -40,8 +43,9 @@
     if (retiring_) session->retire();
     if (sessions_.size() < most_) return;
     std::shared_ptr<Session> oldest;
+    auto rank = [](const Session& s) { return std::pair(s.has_asked, s.used); };
     for (const auto& s : sessions_)
-        if (s != session && s->between_requests() && (!oldest || s->used < oldest->used)) oldest = s;
+        if (s != session && (!oldest || rank(*s) < rank(*oldest)) && s->between_requests()) oldest = s;
     if (oldest) {
         oldest->close();
         leave(oldest);
@@ -51,8 +55,22 @@
 }
 
 void Door::leave(const std::shared_ptr<Session>& session) {
-    sessions_.erase(session);
+    if (sessions_.erase(session) > 0) bytes_ -= session->counted;
+    session->counted = 0;
     if (sessions_.size() < most_) listener_.resume();
 }
 
+bool Door::crowded(Session& session) {
+    constexpr std::size_t small = 16384;
+    std::size_t held = session.held();
+    bytes_ += held - session.counted;
+    session.counted = held;
+    return bytes_ > bytes_most_ && held > small;
+}
+
+std::shared_ptr<void> Door::linger() const {
+    constexpr long most = 16;
+    return lingering_.use_count() <= most ? lingering_ : nullptr;
+}
+
 }  // namespace indigovane::adapters
--- a/src/adapters/link_base.hpp
+++ b/src/adapters/link_base.hpp
@@ -28,6 +28,7 @@
             if (auto self = weak.lock()) self->end(End::unreachable);
         });
     }
+    bool quiet() override { return connection_->quiet(); }
     void close() override {
         owner_ = nullptr;
         connection_->close();
--- a/src/adapters/pg_backend.cpp
+++ b/src/adapters/pg_backend.cpp
@@ -1,5 +1,7 @@
 #include "adapters/pg_backend.hpp"
 
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
 #include <charconv>
 #include <cmath>
 
@@ -15,34 +17,51 @@
 
 namespace {
 
-constexpr std::size_t kMessageLimit = 4 << 20;  // a page of values at their largest
+// What a message of an answer may be long at most: a value of 64 KiB as it is, in bytea's text form, and
+// beside its name in a page; all others.
+constexpr std::size_t kBinaryRowLimit = 66 * 1024, kTextRowLimit = 132 * 1024, kOtherLimit = 16 * 1024;
+constexpr std::size_t kRowLimit = kTextRowLimit + kBinaryRowLimit;
+constexpr std::size_t kPageLimit = 4 << 20;  // the rows of a page, all together
+// An answer that has begun is written by then. Guards against one that never ends, since its connection stays
+// open and silent. Could do harm where a lost packet takes longer to be sent again: the attempt is made anew.
+constexpr auto kRestOfAnswer = std::chrono::milliseconds(150);
 
 std::optional<double> to_number(std::string_view text) {
     double value = 0;
     auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (error != std::errc() || !std::isfinite(value)) return std::nullopt;
+    if (error != std::errc() || end != text.data() + text.size() || !std::isfinite(value))
+        return std::nullopt;
     return value;
 }
 
-// name=value pairs set apart by commas. Names that mean nothing here are skipped.
+// name=value pairs set apart by commas. Names that mean nothing here are skipped; a report that can't be read
+// as a whole tells nothing at all.
 void read_report(std::string_view text, Result& result) {
+    Result told;
     while (!text.empty()) {
         std::size_t comma = text.find(',');
         std::string_view part = text.substr(0, comma);
         text = comma == std::string_view::npos ? std::string_view{} : text.substr(comma + 1);
         while (!part.empty() && part.front() == ' ') part.remove_prefix(1);
         std::size_t equals = part.find('=');
-        if (equals == std::string_view::npos) continue;
+        if (equals == std::string_view::npos) return;
         std::string_view name = part.substr(0, equals);
         auto value = to_number(part.substr(equals + 1));
-        if (!value) continue;
-        if (name == "x0" && std::fabs(*value) < 9e12)  // seconds here, unlike all other positions
-            result.report_position_unix_us = std::int64_t(std::floor(*value * 1e6));
-        if (name == "x1") result.report.primary = *value == 1;
-        if (name == "inflight" || name == "concurrent") result.report.held = *value;
-        if (name == "queue" || name == "depth") result.report.waiting = *value;
-        if (name == "util" || name == "load_share") result.report.busy = *value;
+        if (!value) return;
+        if (name == "x0") {  // seconds here, unlike all other positions
+            if (std::fabs(*value) > 9e9) return;
+            told.report_position_unix_us = std::int64_t(std::floor(*value * 1e6));
+        }
+        if (name == "x1") {
+            if (*value != 0 && *value != 1) return;
+            told.report.primary = *value == 1;
+        }
+        if (name == "inflight" || name == "concurrent") told.report.held = *value;
+        if (name == "queue" || name == "depth") told.report.waiting = *value;
+        if (name == "util" || name == "load_share") told.report.busy = *value;
     }
+    result.report = told.report;
+    result.report_position_unix_us = told.report_position_unix_us;
 }
 
 std::string statement_of(const Item& item) {
@@ -74,28 +93,38 @@
     return out + " */ ";
 }
 
+// A member's answer has exactly one form for each query. Whatever differs from it is spoilt: a failed attempt
+// that may have run, which teaches nothing and ends the connection. Guards against passing on what was made
+// for no request or for another one, and against waiting for the end of what has none.
 class PgLink : public LinkBase {
   public:
-    PgLink(boost::asio::io_context& io, Owner& owner) : LinkBase(io, owner, kMessageLimit + 4096) {}
+    PgLink(boost::asio::io_context& io, Owner& owner)
+        : LinkBase(io, owner, kRowLimit + kOtherLimit), timer_(io) {}
 
     void submit(const Item& item, Duration remaining, std::optional<std::int64_t>) override {
         auto left = std::max<std::int64_t>(1, remaining.count() / 1000);
         std::string text = std::to_string(left);
+        verb_ = item.verb;
+        row_limit_ = verb_ == Item::Verb::page ? item.limit : 1;
         if (item.statement.empty())
-            query(comment_of(item, text) + statement_of(item));
+            query(comment_of(item, text) + statement_of(item), false);
         else
-            query(pg::with_deadline(item.statement, pg::read_statement(item.statement), text));
-        multiple_ = item.verb == Item::Verb::page;
+            query(pg::with_deadline(item.statement, pg::read_statement(item.statement), text), false);
     }
     void probe() override {
-        query("SHOW health");
-        probing_ = true;
+        row_limit_ = 1;
+        query("SHOW health", true);
     }
 
   private:
-    void query(const std::string& sql) {
+    enum class Part { authentication, greeting, columns, rows, ready };  // what comes next
+
+    void query(const std::string& sql, bool probing) {
         result_ = Result{};
-        got_row_ = got_complete_ = failed_ = probing_ = multiple_ = false;
+        probing_ = probing;
+        bytes_ = 0;
+        begun_ = false;
+        part_ = Part::columns;
         ask(pg::Writer().query(sql).take());
     }
 
@@ -103,58 +132,117 @@
 
     void on_data(transport::Buffer& in) override {
         auto self = shared_from_this();  // the owner may let go of this link on what it is told
-        while (owner_) {
-            pg::Message message;
+        while (owner_ && !in.empty()) {
+            if (state_ == State::idle) return spoilt("bytes that belong to no request");
+            begun_ = true;
+            pg::Message m;
             std::size_t length = 0;
-            pg::Next next = pg::next_message(in.view(), kMessageLimit, message, length);
-            if (next == pg::Next::more) return;
-            if (next != pg::Next::message) {
-                end(broken());
-                return;
+            const char type = in.view()[0];
+            if (!may_come(type)) return spoilt("a message that does not belong here");
+            pg::Next next = pg::next_message(in.view(), type == 'D' ? row_bytes() : kOtherLimit, m, length);
+            if (next == pg::Next::more) {
+                if (type == 'D' && !row_may_fit(in.view())) return spoilt("a row whose lengths do not fit");
+                break;
             }
-            take(message);
+            if (next != pg::Next::message) return spoilt("a message too long or with no length");
+            const char* wrong = take(m);
+            bool over = type == 'Z' || (type == 'E' && !result_.reusable);
             in.consume(length);
-            if (message.type == 'Z') at_ready();
+            if (wrong) return spoilt(wrong);
+            if (over) at_end(in.empty());
         }
+        if (owner_ && state_ == State::asked && begun_) await_rest();
+    }
+
+    bool may_come(char type) const {
+        static constexpr std::string_view kinds[] = {"REN", "SKNZE", "TESN", "DCESN", "SNZ"};
+        return kinds[std::size_t(part_)].find(type) != std::string_view::npos;
+    }
+
+    std::size_t row_bytes() const {
+        if (verb_ == Item::Verb::page && !probing_) return kRowLimit;
+        return result_.answer.binary ? kBinaryRowLimit : kTextRowLimit;
+    }
+
+    // A row of one value tells its length twice: the two are compared before the value has come.
+    bool row_may_fit(std::string_view in) const {
+        if (verb_ == Item::Verb::page && !probing_) return true;
+        return in.size() < 11 ||
+               std::uint64_t(pg::read_u32(in.substr(1))) == std::uint64_t(pg::read_u32(in.substr(7))) + 10;
+    }
+
+    void await_rest() {
+        timer_.expires_after(kRestOfAnswer);
+        timer_.async_wait([weak = weak_from_this(), number = ++waits_](const transport::error_code& ec) {
+            auto self = std::static_pointer_cast<PgLink>(weak.lock());
+            if (self && !ec && self->owner_ && number == self->waits_ && self->state_ == State::asked)
+                self->spoilt("an answer that does not end");
+        });
+    }
+
+    void spoilt(const char* why) {
+        ++waits_;
+        if (state_ != State::asked) return end(broken());
+        Result result;
+        result.status = Status::error;
+        result.reusable = false;
+        result.spoilt = why;
+        answer(std::move(result));
     }
 
     End broken() const override { return turned_away_ ? End::turned_away : LinkBase::broken(); }
 
-    void take(const pg::Message& m) {
-        if (m.type == 'S') {
-            if (auto p = pg::read_parameter(m.body)) parameter(p->first, p->second);
-        } else if (m.type == 'E') {
-            error(pg::read_error(m.body));
-        } else if (m.type == 'T') {
-            if (auto columns = pg::read_columns(m.body); columns && !columns->empty()) {
-                result_.answer.column = columns->back().name;
-                result_.answer.binary = columns->back().binary;
-            }
-        } else if (m.type == 'D') {
-            row(m.body);
-        } else if (m.type == 'C') {
-            got_complete_ = true;
-            std::string_view body = m.body;
-            if (auto tag = pg::read_string(body)) result_.answer.tag = *tag;
+    // Returns what is wrong with the message, if anything is.
+    const char* take(const pg::Message& m) {
+        std::string_view body = m.body;
+        switch (m.type) {
+            case 'R':
+                if (body != std::string_view("\0\0\0\0", 4)) return "a password is asked for";
+                part_ = Part::greeting;
+                return nullptr;
+            case 'S':
+                return parameter(body);
+            case 'E':
+                return error(body);
+            case 'T':
+                return columns(body);
+            case 'D':
+                return row(body);
+            case 'C':
+                return complete(body);
+            case 'Z':
+                return body == "I" ? nullptr : "no plain end of the answer";
         }
-        // Authentication, key data and notices say nothing that matters here.
+        return nullptr;  // key data and notices say nothing that matters here
     }
 
-    void parameter(std::string_view name, std::string_view value) {
-        if (state_ != State::asked) return;
-        if (name == "recovery") result_.role = value == "off" ? Role::primary : Role::replica;
+    // What is told beside an answer may be spoilt by itself: it teaches nothing then, and the answer counts.
+    const char* parameter(std::string_view body) {
+        auto p = pg::read_parameter(body);
+        if (!p) return body.substr(0, 6) == "health" ? nullptr : "a parameter that can't be read";
+        auto [name, value] = *p;
+        if (state_ != State::asked) return nullptr;
+        if (name == "recovery" && (value == "off" || value == "on"))
+            result_.role = value == "off" ? Role::primary : Role::replica;
         if (name == "lsn_ms") {
             std::int64_t ms = 0;
             auto [end, error] = std::from_chars(value.data(), value.data() + value.size(), ms);
-            if (error == std::errc() && ms > 0 && ms < 9'000'000'000'000) {
+            if (error == std::errc() && end == value.data() + value.size() && ms > 0 &&
+                ms < 9'000'000'000'000) {
                 result_.position_unix_us = ms * 1000;
                 result_.answer.position_unix_ms = ms;
             }
         }
         if (name == "health") read_report(value, result_);
+        return nullptr;
     }
 
-    void error(const pg::ErrorFields& e) {
+    const char* error(std::string_view body) {
+        pg::ErrorFields e = pg::read_error(body);
+        if (e.code.size() != 5 || !std::all_of(e.code.begin(), e.code.end(), [](char c) {
+                return (c >= '0' && c <= '9') || (c >= 'A' && c <= 'Z');
+            }))
+            return "an error with no code";
         failed_ = true;
         if (e.code == pg::sqlstate::read_only || e.code == pg::sqlstate::snapshot_too_old)
             result_.status = Status::miss;
@@ -162,49 +250,77 @@
             result_.status = Status::full;
         else
             result_.status = Status::error;
-        if (e.severity == "FATAL") {
+        if (e.severity == "FATAL") {  // it answers the job, and the connection ends with it
             result_.reusable = false;
-            if (state_ == State::starting && result_.status == Status::full) turned_away_ = true;
-            // Its error answers the job; the connection ends with it.
-            if (state_ == State::asked) at_ready();
+            turned_away_ = state_ == State::starting && result_.status == Status::full;
         }
+        part_ = Part::ready;
+        return nullptr;
     }
 
-    void row(std::string_view body) {
+    const char* columns(std::string_view body) {
+        auto columns = pg::read_columns(body);
+        bool page = verb_ == Item::Verb::page && !probing_;
+        if (!columns || columns->size() != (page ? 2 : 1)) return "columns that do not fit";
+        bool known = !probing_ && verb_ != Item::Verb::other;
+        if (known && columns->back().name != "content") return "a column that was not asked for";
+        result_.answer.column = columns->back().name;
+        result_.answer.binary = columns->back().binary;
+        part_ = Part::rows;
+        return nullptr;
+    }
+
+    const char* row(std::string_view body) {
         auto values = pg::read_values(body);
-        if (!values) {
-            failed_ = true;
-            return;
-        }
-        if (probing_) {
-            for (const auto& value : *values)
-                if (value) read_report(*value, result_);
-        } else if (multiple_ && values->size() == 2) {
-            result_.answer.rows.push_back(
-                {std::string((*values)[0].value_or("")), std::string((*values)[1].value_or(""))});
-        } else if (values->size() == 1) {
-            result_.answer.rows.push_back({{}, std::string(values->front().value_or(""))});
-        }
-        got_row_ = true;
+        bool page = verb_ == Item::Verb::page && !probing_;
+        if (!values || values->size() != (page ? 2 : 1)) return "a row that does not fit";
+        if (!std::all_of(values->begin(), values->end(), [](auto& v) { return v.has_value(); }))
+            return "a row without a value";
+        if (result_.answer.rows.size() >= row_limit_) return "more rows than were asked for";
+        bytes_ += body.size();
+        if (page && bytes_ > kPageLimit) return "a page too large";
+        if (probing_) read_report(*values->front(), result_);
+        result_.answer.rows.push_back(
+            {page ? std::string(*values->front()) : std::string(), std::string(*values->back())});
+        return nullptr;
+    }
+
+    const char* complete(std::string_view body) {
+        auto tag = pg::read_string(body);
+        if (!tag || !body.empty()) return "an end that can't be read";
+        std::string rows = std::to_string(result_.answer.rows.size());
+        bool known = !probing_ && verb_ != Item::Verb::other;
+        if (known && *tag != (verb_ == Item::Verb::write ? "INSERT 0 " : "SELECT ") + rows)
+            return "an end that does not fit its rows";
+        result_.answer.tag = *tag;
+        part_ = Part::ready;
+        return nullptr;
     }
 
-    void at_ready() {
-        if (!owner_) return;
+    void at_end(bool nothing_more) {
+        ++waits_;
         if (state_ == State::starting) {
-            if (failed_)
-                end(End::unreachable);
+            if (failed_ || !nothing_more)
+                end(broken());
             else
                 came_up();
-        } else if (state_ == State::asked) {
-            if (!failed_)
-                result_.status = got_complete_ && (got_row_ || multiple_) ? Status::ok : Status::error;
-            answer(std::move(result_));
+            return;
         }
+        bool page = verb_ == Item::Verb::page && !probing_;
+        if (!std::exchange(failed_, false))
+            result_.status = page || result_.answer.rows.size() == 1 ? Status::ok : Status::error;
+        // What stands behind an answer belongs to no request: the answer counts, the connection ends.
+        result_.reusable = result_.reusable && nothing_more;
+        answer(std::move(result_));
     }
 
+    boost::asio::steady_timer timer_;
+    std::uint64_t waits_ = 0;  // a wait that this has passed is over
+    Part part_ = Part::authentication;
     Result result_;
-    bool probing_ = false, multiple_ = false, got_row_ = false, got_complete_ = false, failed_ = false,
-         turned_away_ = false;
+    Item::Verb verb_ = Item::Verb::other;
+    std::size_t row_limit_ = 1, bytes_ = 0;
+    bool probing_ = false, begun_ = false, failed_ = false, turned_away_ = false;
 };
 
 }  // namespace
--- a/src/adapters/pg_front.cpp
+++ b/src/adapters/pg_front.cpp
@@ -14,7 +14,8 @@
 
 constexpr std::size_t kStartupLimit = 10000;       // as PostgreSQL has it
 constexpr std::size_t kMessageLimit = 160 * 1024;  // 64 KiB in bytea's text form, and what stands round it
-constexpr std::size_t kSkipLimit = 16 << 20;       // a message up to this long is read past
+constexpr std::size_t kValueLimit = 64 * 1024, kNameLimit = 1024;  // in bytes
+constexpr std::uint32_t kRowsLimit = 10000;                        // of a page
 constexpr std::uint32_t kByteaType = 17, kTextType = 25;
 
 template <typename T>
@@ -32,6 +33,12 @@
            (text.size() == expected.size() || !std::isalnum(std::uint8_t(text[expected.size()])));
 }
 
+bool plain(std::string_view text) {
+    return std::all_of(text.begin(), text.end(), [](char c) {
+        return std::isalnum(std::uint8_t(c)) || std::string_view("-_.:").find(c) != std::string_view::npos;
+    });
+}
+
 struct Rejection {
     std::string_view code;
     std::string text;
@@ -39,26 +46,26 @@
 
 class PgSession : public Session {
   public:
-    PgSession(boost::asio::io_context& io, Door& door, const Classes& classes, Intake& intake, Logger& logger)
-        : Session(io, door, intake, {.unread = kMessageLimit + 8192}), classes_(classes), logger_(logger) {}
+    PgSession(boost::asio::io_context& io, Door& door, const Classes& classes, PgOptions options,
+              Intake& intake, Logger& logger)
+        : Session(io, door, intake, {.unread = kMessageLimit + 8192, .patience = options.patience}),
+          classes_(classes),
+          logger_(logger) {}
 
   private:
-    enum class Expects { startup, command, rest_of_message, sync };
+    enum class Expects { startup, command, sync };
 
     bool step(transport::Buffer& in) override {
         in_ = &in;
-        switch (expects_) {
-            case Expects::startup:
-                return startup();
-            case Expects::rest_of_message:
-                return skip();
-            case Expects::command:
-            case Expects::sync:
-                return command();
-        }
-        return false;
+        return expects_ == Expects::startup ? startup() : command();
     }
 
+    bool unfinished() const override { return expects_ == Expects::startup; }
+    void on_impatient() override {
+        fatal(pg::sqlstate::protocol_violation, unfinished() ? "no startup packet" : "half a message");
+    }
+    void on_no_memory() override { fatal(pg::sqlstate::out_of_memory, "too much is unread or unfinished"); }
+
     bool startup() {
         pg::Message m;
         std::size_t length = 0;
@@ -69,7 +76,9 @@
         std::uint32_t code = pg::read_u32(m.body);
         in_->consume(length);
         if (code == pg::kSslCode || code == pg::kGssCode) {
-            write("N");  // plain TCP only
+            // Plain TCP only. Asking again and again would be a way to stay without ever starting.
+            if (++declined_ > 2) return fatal(pg::sqlstate::protocol_violation, "no startup packet");
+            write("N");
             return true;
         }
         if (code == pg::kCancelCode) {  // no keys are handed out that it could name
@@ -99,13 +108,8 @@
         pg::Next next = pg::next_message(in_->view(), kMessageLimit, m, length);
         if (next == pg::Next::more) return false;
         if (next == pg::Next::malformed) return fatal(pg::sqlstate::protocol_violation, "malformed message");
-        if (next == pg::Next::too_long) {
-            if (length > kSkipLimit) return fatal(pg::sqlstate::program_limit, "the message is too long");
-            to_skip_ = length;
-            after_skip_ = expects_;
-            expects_ = Expects::rest_of_message;
-            return true;
-        }
+        // Nothing so long can be of use, and reading past it would cost all others: the header is enough.
+        if (next == pg::Next::too_long) return fatal(pg::sqlstate::program_limit, "the message is too long");
         if (expects_ == Expects::sync && m.type != 'S' && m.type != 'X') {
             in_->consume(length);
             return true;
@@ -146,21 +150,11 @@
         return true;
     }
 
-    bool skip() {
-        std::size_t count = std::min(to_skip_, in_->size());
-        in_->consume(count);
-        to_skip_ -= count;
-        if (to_skip_ > 0) return false;
-        expects_ = after_skip_;
-        if (expects_ == Expects::sync) return true;  // silence up to Sync, whatever the length
-        reject({pg::sqlstate::program_limit, "the statement is too long"});
-        return true;
-    }
-
     void query(std::string_view body) {
         std::string_view sql = body.substr(0, body.find('\0'));
         if (body.find('\0') != body.size() - 1 || body.empty())
             return reject({pg::sqlstate::protocol_violation, "a query ends with its only zero byte"});
+        if (!pg::valid_text(sql)) return reject({pg::sqlstate::bad_text, "a query is plain UTF-8"});
         pg::Statement statement = pg::read_statement(sql);
         if (statement.malformed)
             return reject({pg::sqlstate::syntax_error, "the comment or a literal is malformed"});
@@ -172,6 +166,8 @@
         if (statement.fields.empty() && local(statement.body)) return;
         Item item;
         if (auto rejection = read_item(sql, statement, item)) return reject(*rejection);
+        if (is_open(item.id))
+            return reject({pg::sqlstate::invalid_parameter, "a request of this id is in hand"});
         // The item keeps the statement and what was read from it.
         if (!has_room(2 * sql.size())) {
             write(pg::Writer()
@@ -193,12 +189,37 @@
         return false;
     }
 
+    // What no member could read, or would turn away, never reaches one: it may close on it, whatever else
+    // waits there, and its errors would count against it.
+    static const char* misfit(const pg::Verb& verb, const ClassInfo& cls) {
+        if (verb.kind == pg::Verb::Kind::other) return "no statement of this form is served";
+        if (cls.write != (verb.kind == pg::Verb::Kind::write)) return "the statement does not fit its class";
+        if (verb.name.size() > kNameLimit) return "the name is too long";
+        if (verb.kind != pg::Verb::Kind::page && verb.name.empty()) return "the name is empty";
+        if (verb.kind == pg::Verb::Kind::page && (verb.limit == 0 || verb.limit > kRowsLimit))
+            return "a page has a row at least, and not so many";
+        if (!verb.content) return nullptr;
+        if (verb.content->substr(0, 2) == "\\x") {
+            auto bytes = pg::unhex(*verb.content);
+            if (!bytes) return "the value is no bytea";
+            return bytes->size() > kValueLimit ? "the value is too long" : nullptr;
+        }
+        if (verb.content->find('\\') != std::string::npos) return "the value is no bytea";
+        return verb.content->size() > kValueLimit ? "the value is too long" : nullptr;
+    }
+
     std::optional<Rejection> read_item(std::string_view sql, const pg::Statement& s, Item& item) {
         auto invalid = [](std::string text) {
             return Rejection{pg::sqlstate::invalid_parameter, std::move(text)};
         };
+        for (std::size_t i = 0; i < s.fields.size(); ++i)
+            for (std::size_t j = 0; j < i; ++j)
+                if (s.fields[i].first == s.fields[j].first)
+                    return invalid("the comment names '" + std::string(s.fields[i].first.substr(0, 64)) +
+                                   "' twice");
         auto id = s.field("id"), name = s.field("c"), cluster = s.field("cluster");
-        if (!id || id->empty() || id->size() > 64) return invalid("the comment names no request (id)");
+        if (!id || id->empty() || id->size() > 64 || !plain(*id))
+            return invalid("the comment names no request (id)");
         if (!name) return invalid("the comment names no class (c)");
         const ClassInfo* cls = classes_.find(*name);
         if (!cls) return invalid("class '" + std::string(name->substr(0, 64)) + "' is unknown");
@@ -219,10 +240,12 @@
             if (*position > 0) item.after_unix_ms = *position;
         }
         pg::Verb verb = pg::read_verb(s.body);
+        if (auto wrong = misfit(verb, *cls)) return Rejection{pg::sqlstate::syntax_error, wrong};
+        if (cls->keyed && s.field("k").value_or("").empty())
+            return invalid("the comment names no key (k), which this class needs");
         item.verb = verb.kind == pg::Verb::Kind::lookup  ? Item::Verb::lookup
                     : verb.kind == pg::Verb::Kind::write ? Item::Verb::write
-                    : verb.kind == pg::Verb::Kind::page  ? Item::Verb::page
-                                                         : Item::Verb::other;
+                                                         : Item::Verb::page;
         item.name = std::move(verb.name);
         item.content = std::move(verb.content);
         item.prefix = std::move(verb.prefix);
@@ -278,21 +301,21 @@
     bool fatal(std::string_view code, std::string_view text) {
         write(pg::Writer().error("FATAL", code, text).take());
         logger_.log(Level::warning, "fatal", std::string(text), {{"sqlstate", std::string(code)}});
-        leave();
+        leave(true);
         return false;
     }
 
     const Classes& classes_;
     Logger& logger_;
     transport::Buffer* in_ = nullptr;  // the connection's
-    Expects expects_ = Expects::startup, after_skip_ = Expects::command;
-    std::size_t to_skip_ = 0;
+    Expects expects_ = Expects::startup;
+    int declined_ = 0;
 };
 
 }  // namespace
 
 std::shared_ptr<Session> PgFront::open(boost::asio::ip::tcp::socket socket) {
-    auto session = std::make_shared<PgSession>(io_, *this, classes_, intake_, logger_);
+    auto session = std::make_shared<PgSession>(io_, *this, classes_, options_, intake_, logger_);
     session->begin(std::move(socket));
     return session;
 }
--- a/src/adapters/pg_front.hpp
+++ b/src/adapters/pg_front.hpp
@@ -6,11 +6,20 @@
 
 namespace indigovane::adapters {
 
+struct PgOptions {
+    std::chrono::milliseconds patience{1500};  // with a startup or a message that does not end
+};
+
 class PgFront : public Door {
   public:
     PgFront(boost::asio::io_context& io, const transport::Endpoint& at, std::size_t most,
-            const Classes& classes, routing::Intake& intake, routing::Logger& logger)
-        : Door(io, at, most), io_(io), classes_(classes), intake_(intake), logger_(logger) {}
+            const Classes& classes, PgOptions options, routing::Intake& intake, routing::Logger& logger)
+        : Door(io, at, most),
+          io_(io),
+          classes_(classes),
+          options_(options),
+          intake_(intake),
+          logger_(logger) {}
 
     std::string name() const override { return "pg"; }
 
@@ -20,6 +29,7 @@
   private:
     boost::asio::io_context& io_;
     const Classes& classes_;
+    PgOptions options_;
     routing::Intake& intake_;
     routing::Logger& logger_;
 };
--- a/src/adapters/rest_front.cpp
+++ b/src/adapters/rest_front.cpp
@@ -40,9 +40,8 @@
 class RestSession : public Session {
   public:
     RestSession(boost::asio::io_context& io, RestFront& front, Intake& intake)
-        : Session(
-              io, front, intake,
-              {.unread = kLimits.head + kLimits.body + 4096, .half_request = front.options().half_request}),
+        : Session(io, front, intake,
+                  {.unread = kLimits.head + kLimits.body + 4096, .patience = front.options().half_request}),
           front_(front),
           parser_(kLimits) {}
 
@@ -78,6 +77,8 @@
             reply(*problem, more);
         } else if (health_) {
             respond(200, {{"Content-Type", "application/json"}}, json{{"status", "serving"}}.dump());
+        } else if (is_open(item.id)) {
+            reply({409, "id", "A request of this id is in hand", ""}, {});
         } else if (!has_room(item.name.size())) {
             reply({503, "refused", "Too much is in hand", "trying again is harmless"},
                   {{"Retry-After", "1"}});
@@ -87,7 +88,8 @@
         return !over();
     }
 
-    void on_half_request() override { hang_up({408, "half-request", "The request did not end in time", ""}); }
+    void on_impatient() override { hang_up({408, "half-request", "The request did not end in time", ""}); }
+    void on_no_memory() override { hang_up({503, "memory", "Too much is unread or unfinished", ""}); }
 
     std::optional<Problem> read(const http::Request& request, Item& item) {
         health_ = false;
@@ -146,6 +148,7 @@
         if (id && (id->empty() || id->size() > 64 || !plain(*id)))
             return invalid("Request-Id must be 1 to 64 letters, digits or marks");
         item.id = id ? std::string(*id) : front_.next_id();
+        while (!id && is_open(item.id)) item.id = front_.next_id();
         if (!page_) {
             item.verb = Item::Verb::lookup;
             item.name = target.segments[4];
@@ -257,7 +260,8 @@
     // Where the next request begins is not known after this.
     bool hang_up(const Problem& p) {
         keep_alive_ = head_only_ = false;
-        reply(p, {});
+        write(message(p, {}));
+        leave(true);
         return false;
     }
 
--- a/src/adapters/rest_front.hpp
+++ b/src/adapters/rest_front.hpp
@@ -12,7 +12,7 @@
 
 struct RestOptions {
     std::uint32_t page_size = 50, page_size_most = 500;
-    std::chrono::milliseconds half_request{10000};  // for the rest of a request that has begun
+    std::chrono::milliseconds half_request{1500};  // for a first request to come, and for one to end
 };
 
 class RestFront : public Door {
--- a/src/adapters/session.cpp
+++ b/src/adapters/session.cpp
@@ -19,6 +19,11 @@
 
 void Session::begin(boost::asio::ip::tcp::socket socket) {
     connection_->adopt(std::move(socket), *this);
+    watch();
+}
+
+std::size_t Session::held() const {
+    return connection_->unwritten() + (in_ ? in_->capacity() : 0);
 }
 
 bool Session::between_requests() {
@@ -45,6 +50,7 @@
 
 void Session::on_written() {
     auto self = shared_from_this();
+    progress_ = true;
     work();
 }
 
@@ -58,17 +64,19 @@
     if (working_) return;
     working_ = true;
     while (in_ && !in_->empty() && state_ == State::between &&
-           connection_->unwritten() <= limits_.unwritten && step(*in_)) {
-    }
+           connection_->unwritten() <= limits_.unwritten && step(*in_))
+        progress_ = has_begun_ = true;
     working_ = false;
+    if (state_ != State::over && door_.crowded(*this)) on_no_memory();
     if (state_ == State::over) return;
-    watch_half_request();
+    watch();
     maybe_retire();
     if (state_ != State::over) connection_->resume();
 }
 
 void Session::ask(routing::Item item) {
     door_.touch(*this);
+    has_asked = has_begun_ = progress_ = true;
     state_ = State::asked;
     request_ = intake_.accept(std::move(item), *this);
 }
@@ -80,11 +88,11 @@
     work();
 }
 
-void Session::leave() {
+void Session::leave(bool unread) {
     if (state_ == State::over) return;
     state_ = State::over;
     timer_.cancel();
-    connection_->close_after_writing();
+    connection_->close_after_writing(unread ? door_.linger() : nullptr);
     door_.leave(shared_from_this());
 }
 
@@ -92,17 +100,23 @@
     if (retiring_ && state_ == State::between && !connection_->readable()) leave();
 }
 
-void Session::watch_half_request() {
-    if (limits_.half_request.count() == 0) return;
-    bool half = state_ == State::between && in_ && !in_->empty() && connection_->unwritten() == 0;
-    if (half == half_) return;
-    half_ = half;
-    timer_.cancel();
-    if (!half) return;
-    timer_.expires_after(limits_.half_request);
-    timer_.async_wait([weak = weak_from_this()](const transport::error_code& ec) {
+// Guards against clients that hold a connection and its memory without ever being served: silent ones, those
+// that begin and don't end, and those that don't read. Each whole message, and all being read, is progress.
+void Session::watch() {
+    bool waits =
+        state_ == State::between && (unfinished() || (in_ && !in_->empty()) || connection_->unwritten() > 0);
+    if (waits && watching_ && !std::exchange(progress_, false)) return;
+    if (watching_) timer_.cancel();
+    ++watches_;
+    watching_ = waits;
+    if (!waits) return;
+    timer_.expires_after(limits_.patience);
+    timer_.async_wait([weak = weak_from_this(), number = watches_](const transport::error_code& ec) {
         auto self = weak.lock();
-        if (self && !ec && self->half_ && self->state_ == State::between) self->on_half_request();
+        if (!self || ec || number != self->watches_ || self->state_ != State::between) return;
+        if (self->connection_->unwritten() == 0) return self->on_impatient();
+        self->close();
+        self->door_.leave(self);
     });
 }
 
--- a/src/adapters/session.hpp
+++ b/src/adapters/session.hpp
@@ -18,28 +18,38 @@
     struct Limits {
         std::size_t unread = 1 << 16;     // bytes kept while an earlier request is served
         std::size_t unwritten = 1 << 18;  // a client that reads nothing is asked nothing more beyond this
-        std::chrono::milliseconds half_request{0};  // patience with a request that does not end; 0: any
+        // Patience with a client that is in the middle of something: a first request that does not come, one
+        // that does not end, an answer that is not read.
+        std::chrono::milliseconds patience{1500};
     };
 
     Session(boost::asio::io_context& io, Door& door, routing::Intake& intake, Limits limits);
     virtual ~Session();
 
     void begin(boost::asio::ip::tcp::socket socket);
-    bool between_requests();  // nothing is owed to this client, and nothing of it is unread
-    void retire();            // closes as soon as that is so
-    void close();             // at once
-    std::uint64_t used = 0;   // when it last had a request, as a count
+    bool between_requests();   // nothing is owed to this client, and nothing of it is unread
+    void retire();             // closes as soon as that is so
+    void close();              // at once
+    std::uint64_t used = 0;    // when it last had a request, or came, as a count
+    bool has_asked = false;    // it has had one
+    std::size_t held() const;  // bytes that it keeps in memory, unread and unwritten
+    std::size_t counted = 0;   // and those that the door knows of
 
   protected:
     // Takes one message from the buffer; false: more must come, or the session is asked() or over.
     virtual bool step(transport::Buffer& in) = 0;
-    virtual void on_half_request() {}  // the patience with one is over
+    // More is owed by the client before it may stay for as long as it likes.
+    virtual bool unfinished() const { return !has_begun_; }
+    virtual void on_impatient() = 0;  // a request does not end, or no first one has come: leave()
+    virtual void on_no_memory() = 0;  // what the clients hold together is too much: leave()
 
     void ask(routing::Item item);  // one request; served() or ended() follows
     bool has_room(std::size_t bytes) const { return intake_.has_room(bytes); }
     void answered(std::string bytes);
     void write(std::string bytes) { connection_->write(std::move(bytes)); }
-    void leave();  // what is written still goes out
+    bool is_open(const std::string& id) const { return intake_.is_open(id); }
+    // What is written still goes out. `unread`: the client may be sending yet, and shall see the last words.
+    void leave(bool unread = false);
     bool asked() const { return state_ == State::asked; }
     bool over() const { return state_ == State::over; }
     bool retiring() const { return retiring_; }
@@ -52,7 +62,7 @@
     void on_closed(const transport::error_code& ec) override;
     void work();
     void maybe_retire();
-    void watch_half_request();
+    void watch();
 
     Door& door_;
     routing::Intake& intake_;
@@ -62,7 +72,8 @@
     transport::Buffer* in_ = nullptr;  // the connection's
     State state_ = State::between;
     routing::RequestId request_{};
-    bool retiring_ = false, working_ = false, half_ = false;
+    std::uint64_t watches_ = 0;  // begun so far: a ring of an earlier one says nothing
+    bool retiring_ = false, working_ = false, watching_ = false, progress_ = false, has_begun_ = false;
 };
 
 }  // namespace indigovane::adapters
--- a/src/program/config.cpp
+++ b/src/program/config.cpp
@@ -120,6 +120,7 @@
                 info.deadline = k.deadline.value_or(std::chrono::seconds(1));
                 info.write = k.consistency.value_or(Consistency::write) == Consistency::write;
                 info.session = k.consistency == Consistency::session;
+                info.keyed = k.effect == starlingpond::Effect::keyed;
                 c.longest_deadline = std::max(c.longest_deadline, info.deadline);
                 classes.push_back(info);
             }
--- a/src/program/lifecycle.cpp
+++ b/src/program/lifecycle.cpp
@@ -23,6 +23,8 @@
 constexpr double kMemberShare = 0.3;  // of the descriptors
 constexpr double kItemShare = 0.25;   // of the memory, for items in hand; the rest is for what they are read
                                       // from and answered with
+constexpr double kUnreadShare = 0.2;  // of it, for what clients have not ended or not read
+
 }  // namespace
 
 const char* name(Phase phase) {
@@ -84,14 +86,20 @@
         core_->on_follow_list([this] { catalog_->follow(); });
     else
         catalog_->follow();
-    fronts_.push_back(
-        std::make_unique<adapters::PgFront>(io_, config_.listen, clients, config_.classes, *core_, log_));
+    auto unread =
+        std::size_t(double(config_.memory_mb) * kUnreadShare * 1048576) / (rest_clients > 0 ? 2 : 1);
+    auto pg_front = std::make_unique<adapters::PgFront>(io_, config_.listen, clients, config_.classes,
+                                                        adapters::PgOptions{}, *core_, log_);
+    pg_front->limit_bytes(unread);
+    fronts_.push_back(std::move(pg_front));
     if (config_.rest.enabled) {
         adapters::RestOptions options;
         options.page_size = config_.rest.page_size;
         options.page_size_most = config_.rest.page_size_most;
-        fronts_.push_back(std::make_unique<adapters::RestFront>(io_, config_.rest.listen, rest_clients,
-                                                                config_.classes, options, *core_, log_));
+        auto front = std::make_unique<adapters::RestFront>(io_, config_.rest.listen, rest_clients,
+                                                           config_.classes, options, *core_, log_);
+        front->limit_bytes(unread);
+        fronts_.push_back(std::move(front));
     }
     if (config_.rest.syslog) {
         syslog_ = std::make_unique<adapters::SyslogSink>(io_, *config_.rest.syslog);
--- a/src/protocol/http.cpp
+++ b/src/protocol/http.cpp
@@ -228,6 +228,8 @@
             return "Method Not Allowed";
         case 408:
             return "Request Timeout";
+        case 409:
+            return "Conflict";
         case 412:
             return "Precondition Failed";
         case 413:
--- a/src/protocol/pg.cpp
+++ b/src/protocol/pg.cpp
@@ -413,6 +413,32 @@
     return out;
 }
 
+bool valid_text(std::string_view bytes) {
+    for (std::size_t i = 0; i < bytes.size();) {
+        auto c = std::uint8_t(bytes[i]);
+        if (c < 0x80) {
+            if ((c < 0x20 && !blank(char(c))) || c == 0x7f) return false;
+            ++i;
+            continue;
+        }
+        std::size_t more = c >= 0xc2 && c < 0xe0   ? 1
+                           : c >= 0xe0 && c < 0xf0 ? 2
+                           : c >= 0xf0 && c < 0xf5 ? 3
+                                                   : 0;
+        if (more == 0 || bytes.size() - i <= more) return false;
+        std::uint32_t point = c & (0x3fu >> more);
+        for (std::size_t k = 1; k <= more; ++k) {
+            auto next = std::uint8_t(bytes[i + k]);
+            if (next >> 6 != 2) return false;
+            point = point << 6 | (next & 0x3f);
+        }
+        constexpr std::uint32_t least[] = {0, 0x80, 0x800, 0x10000};
+        if (point < least[more] || point > 0x10ffff || (point >= 0xd800 && point < 0xe000)) return false;
+        i += more + 1;
+    }
+    return true;
+}
+
 std::string quote(std::string_view text) {
     std::string out = "'";
     for (char c : text) {
--- a/src/protocol/pg.hpp
+++ b/src/protocol/pg.hpp
@@ -27,6 +27,8 @@
 constexpr std::string_view snapshot_too_old = "72000";
 constexpr std::string_view connection_failure = "08006";
 constexpr std::string_view query_canceled = "57014";
+constexpr std::string_view bad_text = "22021";
+constexpr std::string_view out_of_memory = "53200";
 }  // namespace sqlstate
 
 // ---- reading -----------------------------------------------------------------------------------
@@ -121,6 +123,7 @@
 // The same text with field `d` set to `value`; added where there was none.
 std::string with_deadline(std::string_view sql, const Statement& statement, std::string_view value);
 
+bool valid_text(std::string_view bytes);   // UTF-8 without control characters but blanks
 std::string quote(std::string_view text);  // as a string literal
 std::string hex(std::string_view bytes);   // as bytea's text form: \x...
 std::optional<std::string> unhex(std::string_view text);
--- a/src/routing/core.cpp
+++ b/src/routing/core.cpp
@@ -58,6 +58,7 @@
     entry.deadline = now + item.patience;
     entry.bytes = item.statement.size() + item.name.size() + (item.content ? item.content->size() : 0);
     held_bytes_ += entry.bytes;
+    open_ids_.insert(item.id);
     entry.item = std::move(item);
     entry.responder = &responder;
     inbox_.push_back(q);
@@ -115,8 +116,18 @@
 void Core::on_job_end(Pool& pool, const Job& job, Result result) {
     Time now = clock_.now();
     Report report = result.report;
-    if (result.report_position_unix_us) report.position = clock_.from_unix(*result.report_position_unix_us);
+    if (!plausible(result.position_unix_us)) {
+        result.position_unix_us.reset();
+        result.answer.position_unix_ms.reset();
+    }
+    if (!plausible(result.report_position_unix_us) || !plausible(report))
+        report = {};
+    else if (result.report_position_unix_us)
+        report.position = clock_.from_unix(*result.report_position_unix_us);
     Member& m = members_[std::size_t(pool.member())];
+    if (result.spoilt)
+        logger_.log(Level::warning, "spoilt", result.spoilt,
+                    {{"member", m.info.uid}, {"asked", job.probe ? "probe" : "request"}});
     if (job.probe) {
         if (!m.probe || !m.probe->same(job)) return;
         m.probe.reset();
@@ -155,6 +166,20 @@
     forget_if_done(job.id);
 }
 
+// Guards the module against what no member can rightly say: a position in the future would let it stand as
+// current for good, since positions never go back.
+bool Core::plausible(std::optional<std::int64_t> position_unix_us) const {
+    constexpr std::int64_t ahead = 1'000'000, behind = 86'400'000'000;  // a second, a day
+    if (!position_unix_us) return true;
+    std::int64_t now = clock_.to_unix(clock_.now());
+    return *position_unix_us <= now + ahead && *position_unix_us >= now - behind;
+}
+
+bool Core::plausible(const Report& report) {
+    auto count = [](std::optional<double> v) { return !v || (*v >= 0 && *v < 1e6); };
+    return count(report.held) && count(report.waiting) && count(report.busy);
+}
+
 // Guards the age of data whatever a member does: an answer that tells a position short of what the read needs
 // counts as a miss. Hosts that check for themselves still give such answers: to a session read that follows
 // its session's write within 100 ms, and to a bounded read that waited there. Positions are rounded down and
@@ -290,7 +315,10 @@
 
 void Core::forget_if_done(RequestId id) {
     auto it = entries_.find(id);
-    if (it != entries_.end() && !it->second.responder && !it->second.out()) done_.push_back(id);
+    if (it == entries_.end() || it->second.responder || it->second.out() || it->second.over) return;
+    it->second.over = true;
+    open_ids_.erase(it->second.item.id);
+    done_.push_back(id);
 }
 
 void Core::act(const Probe& probe) {
--- a/src/routing/core.hpp
+++ b/src/routing/core.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <queue>
 #include <unordered_map>
+#include <unordered_set>
 
 #include "routing/interfaces.hpp"
 #include "routing/pool.hpp"
@@ -28,6 +29,7 @@
 
     RequestId accept(Item item, Responder& responder) override;
     bool has_room(std::size_t bytes) const override { return held_bytes_ + bytes <= limits_.bytes; }
+    bool is_open(const std::string& id) const override { return open_ids_.count(id) > 0; }
     void withdraw(RequestId id) override;
     void list(starlingpond::ListKind kind, const std::vector<MemberInfo>& members);
     void on_follow_list(std::function<void()> follow) { follow_ = std::move(follow); }
@@ -52,6 +54,7 @@
         Time deadline{};
         std::size_t bytes = 0;
         std::vector<Attempt> attempts;
+        bool over = false;
         bool out() const;
     };
     struct Member {
@@ -76,6 +79,8 @@
     bool may_open() override;
     void on_link_gone() override;
 
+    bool plausible(std::optional<std::int64_t> position_unix_us) const;
+    static bool plausible(const starlingpond::Report& report);
     bool stale(const Job& job, const Result& result) const;
     void carry_out(const starlingpond::Action& action);
     void act(const starlingpond::Send& send);
@@ -105,7 +110,8 @@
     std::function<void()> follow_;
     std::vector<starlingpond::Event> inbox_;
     std::unordered_map<RequestId, Entry> entries_;
-    std::vector<RequestId> done_;  // over, but the module may not have heard
+    std::unordered_set<std::string> open_ids_;  // as clients name them: owed an answer, or out
+    std::vector<RequestId> done_;               // over, but the module may not have heard
     std::map<std::string, MemberId> uids_;
     std::vector<Member> members_;  // by MemberId
     std::priority_queue<Alarm, std::vector<Alarm>, std::greater<>> alarms_;
--- a/src/routing/interfaces.hpp
+++ b/src/routing/interfaces.hpp
@@ -33,6 +33,8 @@
     // that the answer's data must have reached.
     virtual void submit(const Item& item, Duration remaining, std::optional<std::int64_t> needs) = 0;
     virtual void probe() = 0;
+    // Nothing has come on it that no job asked for, its end neither.
+    virtual bool quiet() = 0;
     virtual void close() = 0;  // at once; the owner hears nothing more
 };
 
@@ -61,6 +63,8 @@
     virtual RequestId accept(Item item, Responder& responder) = 0;
     // Whether an item of that many bytes may be taken in: beyond the memory's budget a front turns it away.
     virtual bool has_room(std::size_t bytes) const = 0;
+    // Whether a request of that client's id is in hand: two of them could not be told apart by a member.
+    virtual bool is_open(const std::string& id) const = 0;
     virtual void withdraw(RequestId id) = 0;  // the client has gone: the responder hears nothing more
 
   protected:
--- a/src/routing/pool.cpp
+++ b/src/routing/pool.cpp
@@ -37,6 +37,12 @@
 void Pool::serve_waiting() {
     while (!waiting_.empty() && !idle_.empty()) {
         auto entry = idle_.back();
+        // Guards against what came behind an answer, which would be taken for the next one, and against
+        // writing to a connection whose other side has closed.
+        if (!entry->link->quiet()) {
+            drop(entry);
+            continue;
+        }
         idle_.pop_back();
         put_to_use(entry);
     }
@@ -69,6 +75,10 @@
         entry->link->submit(*item, job.until - clock_.now(), job.needs);
         return;
     }
+    rest(entry);
+}
+
+void Pool::rest(Entries::iterator entry) {
     entry->idle_since = clock_.now();
     idle_.push_back(entry);
 }
@@ -128,7 +138,7 @@
     Job job = *entry->job;
     entry->job.reset();
     if (result.reusable)
-        put_to_use(entry);
+        rest(entry);
     else
         drop(entry);
     owner_.on_job_end(*this, job, std::move(result));
--- a/src/routing/pool.hpp
+++ b/src/routing/pool.hpp
@@ -71,6 +71,7 @@
 
     Entries::iterator find(const Link& link);
     void put_to_use(Entries::iterator entry);
+    void rest(Entries::iterator entry);
     void drop(Entries::iterator entry);
     void open_for_waiting();
 
--- a/src/routing/types.hpp
+++ b/src/routing/types.hpp
@@ -94,7 +94,8 @@
     std::optional<std::int64_t> report_position_unix_us;
     starlingpond::Report report;  // its position is left out: see above
     Answer answer;
-    bool reusable = true;  // the link may carry another
+    bool reusable = true;          // the link may carry another
+    const char* spoilt = nullptr;  // what was wrong with an answer that can't be used
 };
 
 struct MemberInfo {  // an entry of the list
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -1,16 +1,22 @@
 #include "transport/connection.hpp"
 
+#include <sys/socket.h>
+
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/coroutine.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/asio/yield.hpp>
+#include <cerrno>
 
 namespace indigovane::transport {
 
 namespace {
 constexpr std::size_t kReadRoom = 2048;
-}
+constexpr std::size_t kLingerBytes = 1 << 18;  // thrown away at most
+constexpr auto kLingerTime = std::chrono::milliseconds(1000);
+}  // namespace
 
 struct Connection::Reader : asio::coroutine {
     std::shared_ptr<Connection> self;
@@ -43,6 +49,7 @@
                 // Waits for readiness without holding room in the buffer: the handler consumes from it, and
                 // so moves it, while a read is pending.
                 yield c.socket_.async_wait(asio::ip::tcp::socket::wait_read, Reader(*this));
+                if (c.close_when_written_) return;
                 if (!ec) {
                     Buffer::Span room = c.in_.prepare(kReadRoom);
                     count = c.socket_.read_some(asio::buffer(room.data, room.size), ec);
@@ -80,15 +87,33 @@
                 if (c.writing_.capacity() > 16384) c.writing_.shrink_to_fit();
             }
             c.writer_busy_ = false;
-            if (c.close_when_written_) {
-                c.close();
-                return;
-            }
+            if (c.close_when_written_) return c.finish_writing();
             if (c.handler_) c.handler_->on_written();
         }
     }
 };
 
+struct Connection::Linger : asio::coroutine {
+    std::shared_ptr<Connection> self;
+    std::size_t left = kLingerBytes;
+
+    explicit Linger(std::shared_ptr<Connection> c) : self(std::move(c)) {}
+
+    void operator()(error_code ec = {}) {
+        Connection& c = *self;
+        if (c.state_ == State::closed) return;
+        char scratch[8192];
+        reenter(this) {
+            while (!ec && left > 0) {
+                yield c.socket_.async_wait(asio::ip::tcp::socket::wait_read, Linger(*this));
+                if (!ec) left -= std::min(left, c.socket_.read_some(asio::buffer(scratch), ec));
+                if (ec == asio::error::would_block) ec = {};
+            }
+            c.close();
+        }
+    }
+};
+
 Connection::Connection(asio::io_context& io)
     : io_(io), strand_(asio::make_strand(io)), socket_(strand_), timer_(strand_) {}
 
@@ -125,6 +150,13 @@
     return state_ == State::open && (!in_.empty() || socket_.available(ec) > 0);
 }
 
+bool Connection::quiet() {
+    if (state_ != State::open || !in_.empty()) return false;
+    char byte;
+    return ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
+           (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+}
+
 void Connection::write(std::string bytes) {
     if (state_ == State::closed || close_when_written_) return;
     if (out_.empty())
@@ -143,19 +175,36 @@
     asio::post(strand_, Reader(shared_from_this(), false));
 }
 
-void Connection::close_after_writing() {
-    if (state_ == State::closed) return;
+void Connection::close_after_writing(std::shared_ptr<void> token) {
+    if (state_ == State::closed || close_when_written_) return;
     handler_ = nullptr;
-    if (all_written() && !writer_busy_)
-        close();
-    else
-        close_when_written_ = true;
+    close_when_written_ = true;
+    token_ = std::move(token);
+    if (all_written() && !writer_busy_) return finish_writing();
+    timer_.expires_after(kLingerTime);  // guards against a client that never reads
+    timer_.async_wait([self = shared_from_this()](const error_code& ec) {
+        if (!ec) self->close();
+    });
+}
+
+void Connection::finish_writing() {
+    if (!token_) return close();
+    error_code ec;
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+    in_.consume(in_.size());
+    timer_.expires_after(kLingerTime);
+    timer_.async_wait([self = shared_from_this()](const error_code& e) {
+        if (!e) self->close();
+    });
+    Linger linger(shared_from_this());
+    linger();
 }
 
 void Connection::close() {
     if (state_ == State::closed) return;
     state_ = State::closed;
     handler_ = nullptr;
+    token_.reset();
     error_code ec;
     timer_.cancel(ec);
     socket_.close(ec);
--- a/src/transport/connection.hpp
+++ b/src/transport/connection.hpp
@@ -41,6 +41,7 @@
     void established();
 
     bool readable();  // something has come that the handler has not consumed
+    bool quiet();     // open, with nothing unread and no end of the stream, here or in the kernel
     void write(std::string bytes);
     bool all_written() const { return out_.empty() && writing_.empty(); }
     std::size_t unwritten() const { return out_.size() + writing_.size(); }
@@ -49,8 +50,11 @@
     void limit_unread(std::size_t bytes) { limit_ = bytes; }
     void resume();  // something was consumed: reading may go on
 
-    void close_after_writing();  // what is queued still goes out; nothing more is read
-    void close();                // at once; the handler hears nothing more
+    // What is queued still goes out, within a second. With a token the connection lingers then: the other
+    // side is told of the end and what it sends meanwhile is thrown away, up to a bound, so that unread bytes
+    // don't reset the connection before its last words were read. The token is held until it is closed.
+    void close_after_writing(std::shared_ptr<void> token = nullptr);
+    void close();  // at once; the handler hears nothing more
     void detach() { handler_ = nullptr; }
     const Strand& executor() const { return strand_; }
     bool open() const { return state_ == State::open; }
@@ -59,7 +63,9 @@
     enum class State { idle, connecting, open, closed };
     struct Reader;
     struct Writer;
+    struct Linger;
 
+    void finish_writing();
     void fail(const error_code& ec);
 
     asio::io_context& io_;
@@ -72,6 +78,7 @@
     Buffer in_;
     std::string out_, writing_;  // waiting to be written; being written
     std::size_t limit_ = 1 << 20;
+    std::shared_ptr<void> token_;
     bool reading_ = false, writer_busy_ = false, close_when_written_ = false, established_ = false;
 };
 
--- /dev/null
+++ b/tests/backend_test.cpp
@@ -0,0 +1,218 @@
+// A link to a member against a model of the answers it may give: whatever differs is spoilt.
+#include "adapters/pg_backend.hpp"
+#include "support/harness.hpp"
+
+namespace indigovane::testing {
+namespace {
+
+using routing::Link;
+using starlingpond::Status;
+
+// Welcomes, then answers each query with the bytes it is told.
+struct Script : StandIn {
+    using StandIn::StandIn;
+    bool take(Peer& peer, transport::Buffer& in, std::string& out) override {
+        pg::Message m;
+        std::size_t length = 0;
+        auto next = peer.started ? pg::next_message(in.view(), 1 << 20, m, length)
+                                 : pg::next_startup(in.view(), 10000, m, length);
+        if (next != pg::Next::message) return false;
+        in.consume(length);
+        out += std::exchange(peer.started, true) ? reply : welcome;
+        return true;
+    }
+    std::string reply, welcome = pg::Writer().authentication_ok().backend_key(1, 2).ready().take();
+};
+
+struct LinkRig : Link::Owner {
+    explicit LinkRig(std::string reply = "") : host(loop, manners), backend(loop.io) {
+        host.reply = std::move(reply);
+        link = backend.open(host.address(), 10s, *this);
+    }
+    void on_ready(Link&) override { ready = true; }
+    void on_result(Link&, routing::Result r) override { result = std::move(r); }
+    void on_end(Link&, Link::End e) override { ended = e; }
+    bool over() const { return result || ended; }
+    // One query's result; none where the link ended without.
+    std::optional<routing::Result> ask(const std::string& reply, bool probe = false) {
+        host.reply = reply;
+        result.reset();
+        REQUIRE(loop.until([&] { return ready || ended; }));
+        routing::Item item;
+        item.verb = routing::Item::Verb::lookup;
+        item.name = "n", item.id = "1", item.class_name = "c";
+        if (probe)
+            link->probe();
+        else
+            link->submit(item, 4s, std::nullopt);
+        REQUIRE(loop.until([&] { return over(); }));
+        return result;
+    }
+    Loop loop;
+    Host manners;
+    Script host;
+    adapters::PgBackend backend;
+    std::shared_ptr<Link> link;
+    std::optional<routing::Result> result;
+    std::optional<Link::End> ended;
+    bool ready = false;
+};
+
+std::vector<std::string> good(std::string value) {
+    auto one = [](auto write) {
+        pg::Writer w;
+        write(w);
+        return w.take();
+    };
+    return {one([](auto& w) {
+                w.row_description({{"content", 17, true}});
+            }),
+            one([&](auto& w) { w.data_row({value}); }), one([](auto& w) { w.complete("SELECT 1"); }),
+            one([](auto& w) { w.parameter("lsn_ms", "1767225600123"); }), one([](auto& w) { w.ready(); })};
+}
+std::string joined(const std::vector<std::string>& parts) {
+    std::string out;
+    for (auto& p : parts) out += p;
+    return out;
+}
+
+TEST_CASE("pg links: an answer in disorder is a failed attempt, one with more behind it counts") {
+    Dice dice(41);
+    LinkRig* rig = nullptr;
+    std::unique_ptr<LinkRig> kept;
+    int fine = 0, spoilt = 0;
+    for (int round = 0; round < 300; ++round) {
+        if (!rig) kept = std::make_unique<LinkRig>(), rig = kept.get();
+        std::string value = std::to_string(round) + std::string(dice.below(3) * 3000, 'v');
+        auto parts = good(value);
+        const auto whole = parts;
+        std::size_t at = dice.below(parts.size()), other = dice.below(parts.size());
+        bool behind = false, trailing = false;
+        switch (dice.below(8)) {
+            case 0:
+                parts.erase(parts.begin() + std::ptrdiff_t(at));
+                break;
+            case 1:
+                parts.insert(parts.begin() + std::ptrdiff_t(at), parts[other]);
+                break;
+            case 2:
+                std::swap(parts[at], parts[other]);
+                break;
+            case 3:  // a length that does not fit, up to gigabytes
+                parts[at][1 + dice.below(4)] ^= char(1 + dice.below(255));
+                break;
+            case 4:
+                parts[at] = "-ERR nonsense\r\n";
+                break;
+            case 5:  // a second copy behind, or noise
+                behind = true;
+                trailing = true;
+                break;
+            default:
+                break;
+        }
+        // What ends with the first ReadyForQuery is the answer; the rest stands behind it. A parameter may be
+        // anywhere in it, or nowhere.
+        auto first_end = std::find(parts.begin(), parts.end(), whole[4]);
+        if (first_end != parts.end()) ++first_end;
+        std::vector<std::string> answer(parts.begin(), first_end), core = whole;
+        trailing = trailing || first_end != parts.end();
+        std::erase(answer, whole[3]), std::erase(core, whole[3]);
+        bool as_it_should = answer == core;
+        std::string bytes = joined(parts);
+        if (behind) bytes += dice.below(2) ? joined(whole) : "noise";
+        auto r = rig->ask(bytes);
+        REQUIRE(r);
+        if (as_it_should) {
+            ++fine;
+            CHECK(r->status == Status::ok);
+            REQUIRE(r->answer.rows.size() == 1);
+            CHECK(r->answer.rows[0].content == value);
+            if (trailing) CHECK(rig->loop.until([&] { return !r->reusable || rig->ended; }));
+        } else {
+            ++spoilt;
+            CHECK(r->status == Status::error);
+            CHECK(r->answer.rows.empty());
+            CHECK(!r->position_unix_us);
+        }
+        if (!as_it_should || trailing) rig = nullptr;
+    }
+    CHECK(fine > 50);
+    CHECK(spoilt > 50);
+}
+
+TEST_CASE("pg links: what is no answer, and what it leaves of the connection") {
+    auto row = [](auto... v) { return pg::Writer().data_row({v...}).take(); };
+    std::string head = pg::Writer().row_description({{"content", 17, true}}).take();
+    std::string end = pg::Writer().complete("SELECT 1").ready().take();
+    for (const std::string& bytes :
+         {head + row("a", "b") + end, head + row("a") + row("b") + end, head + row(std::nullopt) + end,
+          pg::Writer().row_description({{"other", 17, true}}).take() + row("a") + end,
+          head + row("a") + pg::Writer().complete("SELECT 2").ready().take(),
+          head + row("a") + pg::Writer().complete("SELECT 1").plain('Z', "E").take(),
+          head + std::string("D\xb2\xd0\x5e\0", 5) + std::string(9000, 'x'),
+          head + row(std::string(70000, 'a')).substr(0, 30000),  // never ends
+          pg::Writer().plain('E', "nonsense").ready().take(), std::string("noise\r\nnoise\r\n")}) {
+        LinkRig rig;
+        auto r = rig.ask(bytes);
+        REQUIRE(r);
+        CHECK(r->status == Status::error);
+        CHECK(r->spoilt);
+        CHECK(!r->reusable);
+    }
+}
+
+TEST_CASE("pg links: a report or position that can't be read spoils nothing but itself") {
+    auto whole = good("v");
+    auto with = [&](std::string name, std::string value) {
+        auto parts = whole;
+        parts[3] = pg::Writer().parameter(name, value).take();
+        return joined(parts);
+    };
+    LinkRig rig;
+    for (auto bytes :
+         {with("health", "inflight=7,x0=9%"), with("health", "inflight=7;;"), with("lsn_ms", "17x"),
+          with("recovery", "maybe"),
+          joined({whole[0], whole[1], whole[2],
+                  pg::Writer().plain('S', std::string("health\0no end", 13)).take(), whole[4]})}) {
+        auto r = rig.ask(bytes);
+        REQUIRE(r);
+        CHECK(r->status == Status::ok);
+        CHECK(r->reusable);
+        CHECK(!r->report.held);
+        CHECK(!r->position_unix_us);
+        CHECK(!r->role);
+    }
+    auto r = rig.ask(with("health", "inflight=7,x0=1767225600.5"));
+    CHECK(r->report.held == 7.0);
+    std::string probe = pg::Writer()
+                            .row_description({{"health", 25, false}})
+                            .data_row({"inflight=3,x1=1"})
+                            .complete("SHOW")
+                            .ready()
+                            .take();
+    r = rig.ask(probe, true);
+    CHECK(r->status == Status::ok);
+    CHECK(r->report.held == 3.0);
+}
+
+TEST_CASE("pg links: a welcome that is none never comes up; bytes between requests end the connection") {
+    for (std::string welcome : {std::string("SSH-2.0\r\n"), pg::Writer().ready().take(),
+                                pg::Writer().plain('R', std::string("\0\0\0\3", 4)).take()}) {
+        LinkRig rig;
+        rig.host.welcome = welcome;
+        REQUIRE(rig.loop.until([&] { return rig.ended.has_value(); }));
+        CHECK(rig.ended == Link::End::unreachable);
+    }
+    LinkRig rig;
+    rig.host.welcome += "noise";
+    REQUIRE(rig.loop.until([&] { return rig.ended.has_value(); }));
+    LinkRig closing;
+    REQUIRE(closing.ask(joined(good("v")))->reusable);
+    CHECK(closing.link->quiet());
+    closing.host.drop_all();
+    CHECK(closing.loop.until([&] { return !closing.link->quiet(); }));
+}
+
+}  // namespace
+}  // namespace indigovane::testing
