Hold served sessions to a sixth of the descriptors, so that waiting clients get one

Ruled out: the module (a trace of each conclude(): some twenty in all), the memory budgets, host trouble. A count of sessions by state every 200 ms: 128 idle ones, a third of the 384 descriptors to the unit, as soon as clients began to ask once and stay; asks fell from 330 to 10 a second. Lines: Door::take, which let the longest idle give way only at its own limit of 241. At the limit a flood of silent connections displaced newcomers whose first bytes were on their way; those give way last now. Tests: two in front_test, both fail with the limit or the order taken out.

--- a/src/adapters/door.cpp
+++ b/src/adapters/door.cpp
@@ -9,7 +9,7 @@
     : io_(io), listener_(io, at, [this](auto socket) { take(std::move(socket)); }), most_(most) {}
 
 Door::~Door() {
-    for (const auto& session : sessions_) session->close();
+    for (const auto& [use, session] : sessions_) session->close();
 }
 
 void Door::start() {
@@ -27,35 +27,65 @@
 
 void Door::close_idle() {
     retiring_ = true;
-    std::vector<std::shared_ptr<Session>> all(sessions_.begin(), sessions_.end());
+    std::vector<std::shared_ptr<Session>> all;
+    for (const auto& [use, session] : sessions_) all.push_back(session);
     for (const auto& session : all) session->retire();
 }
 
-// A connection that the machine has accepted may carry a request already, so none is left to wait while the
-// descriptors last: at the limit a session between requests gives way, first of those that have never asked
-// anything, then of the others, the longest idle before all. So clients that only connect displace each other
-// and not those who are served. The client may open another. When every session is busy, what comes waits in
-// the kernel's queue.
 void Door::take(boost::asio::ip::tcp::socket socket) {
     auto session = open(std::move(socket));
-    sessions_.insert(session);
-    touch(*session);
+    session->used = ++uses_;
+    session->came = std::chrono::steady_clock::now();
+    sessions_.emplace(session->used, session);
     if (retiring_) session->retire();
-    if (sessions_.size() < most_) return;
-    std::shared_ptr<Session> oldest;
-    auto rank = [](const Session& s) { return std::pair(s.has_asked, s.used); };
-    for (const auto& s : sessions_)
-        if (s != session && (!oldest || rank(*s) < rank(*oldest)) && s->between_requests()) oldest = s;
-    if (oldest) {
-        oldest->close();
-        leave(oldest);
-    } else {
+    if (sessions_.size() >= most_) make_room(*session);
+}
+
+void Door::touch(Session& session) {
+    auto node = sessions_.extract(session.used);
+    if (node.empty()) return;
+    node.key() = session.used = ++uses_;
+    sessions_.insert(std::move(node));
+    if (!std::exchange(session.served, true)) ++served_;
+    if (served_ <= served_most_) return;
+    for (const auto& [use, other] : sessions_)
+        if (other->served && other.get() != &session && other->between_requests()) {
+            close(std::shared_ptr(other));
+            return;
+        }
+}
+
+// A connection that the machine has accepted may carry a request already, so none is left to wait while the
+// descriptors last: at the limit a session between requests gives way. Its client may open another. First one
+// that had time to ask and has not, so that clients which only connect displace each other; a newcomer last,
+// since its first request is on its way. Of its kind the one unused for longest. When every session is busy,
+// what comes waits in the kernel's queue.
+void Door::make_room(const Session& newcomer) {
+    constexpr auto time_to_ask = std::chrono::milliseconds(50);
+    auto asking_since = std::chrono::steady_clock::now() - time_to_ask;
+    auto kind = [&](const Session& s) { return s.served ? 1 : s.came <= asking_since ? 0 : 2; };
+    std::shared_ptr<Session> first;
+    for (const auto& [use, s] : sessions_)
+        if (s.get() != &newcomer && (!first || kind(*s) < kind(*first)) && s->between_requests()) {
+            first = s;
+            if (kind(*s) == 0) break;
+        }
+    if (first)
+        close(first);
+    else
         listener_.pause();
-    }
+}
+
+void Door::close(const std::shared_ptr<Session>& session) {
+    session->close();
+    leave(session);
 }
 
 void Door::leave(const std::shared_ptr<Session>& session) {
-    if (sessions_.erase(session) > 0) bytes_ -= session->counted;
+    if (sessions_.erase(session->used) > 0) {
+        bytes_ -= session->counted;
+        served_ -= session->served;
+    }
     session->counted = 0;
     if (sessions_.size() < most_) listener_.resume();
 }
--- a/src/adapters/door.hpp
+++ b/src/adapters/door.hpp
@@ -1,8 +1,8 @@
 // The part that fronts share: a listener, the sessions that came in by it, and a limit to their number.
 #pragma once
 
+#include <map>
 #include <memory>
-#include <unordered_set>
 
 #include "adapters/session.hpp"
 #include "transport/listener.hpp"
@@ -12,6 +12,10 @@
 class Door : public routing::Front {
   public:
     Door(boost::asio::io_context& io, const transport::Endpoint& at, std::size_t most);
+    // So many sessions that have been served may stay open, busy or not. Beyond that the one between requests
+    // for longest is closed: clients may hold only so many connections, too, and those that ask once and stay
+    // would leave the others none.
+    void limit_served(std::size_t most) { served_most_ = most; }
     // What clients leave unread or send unfinished may take so many bytes, all together.
     void limit_bytes(std::size_t bytes) { bytes_most_ = bytes; }
     ~Door() override;
@@ -22,7 +26,7 @@
     std::string address() const override;
     transport::Endpoint local() const { return listener_.local(); }
 
-    void touch(Session& session) { session.used = ++uses_; }
+    void touch(Session& session);                         // it has had a request, or the answer to one
     void leave(const std::shared_ptr<Session>& session);  // the session is over
     // Whether the sessions hold too much and this one has a large part in it.
     bool crowded(Session& session);
@@ -34,12 +38,15 @@
 
   private:
     void take(boost::asio::ip::tcp::socket socket);
+    void make_room(const Session& newcomer);
+    void close(const std::shared_ptr<Session>& session);
 
     boost::asio::io_context& io_;
     transport::Listener listener_;
     std::size_t most_;
-    std::unordered_set<std::shared_ptr<Session>> sessions_;
+    std::map<std::uint64_t, std::shared_ptr<Session>> sessions_;  // by their last use, the oldest first
     std::uint64_t uses_ = 0;
+    std::size_t served_most_ = std::size_t(-1), served_ = 0;
     std::size_t bytes_most_ = 16 << 20, bytes_ = 0;
     std::shared_ptr<int> lingering_ = std::make_shared<int>(0);  // as many others hold it as linger
     bool retiring_ = false;
--- a/src/adapters/session.cpp
+++ b/src/adapters/session.cpp
@@ -76,7 +76,7 @@
 
 void Session::ask(routing::Item item) {
     door_.touch(*this);
-    has_asked = has_begun_ = progress_ = true;
+    has_begun_ = progress_ = true;
     state_ = State::asked;
     request_ = intake_.accept(std::move(item), *this);
 }
@@ -86,6 +86,7 @@
     state_ = State::between;
     connection_->write(std::move(bytes));
     work();
+    if (state_ == State::between) door_.touch(*this);
 }
 
 void Session::leave(bool unread) {
--- a/src/adapters/session.hpp
+++ b/src/adapters/session.hpp
@@ -27,13 +27,15 @@
     virtual ~Session();
 
     void begin(boost::asio::ip::tcp::socket socket);
-    bool between_requests();   // nothing is owed to this client, and nothing of it is unread
-    void retire();             // closes as soon as that is so
-    void close();              // at once
-    std::uint64_t used = 0;    // when it last had a request, or came, as a count
-    bool has_asked = false;    // it has had one
-    std::size_t held() const;  // bytes that it keeps in memory, unread and unwritten
-    std::size_t counted = 0;   // and those that the door knows of
+    bool between_requests();  // nothing is owed to this client, and nothing of it is unread
+    void retire();            // closes as soon as that is so
+    void close();             // at once
+    // The door's notes on it.
+    std::uint64_t used = 0;                      // when it last had a request, or came, as a count
+    std::chrono::steady_clock::time_point came;  // and the time that it came
+    bool served = false;                         // it has had a request
+    std::size_t held() const;                    // bytes that it keeps in memory, unread and unwritten
+    std::size_t counted = 0;                     // and those that the door knows of
 
   protected:
     // Takes one message from the buffer; false: more must come, or the session is asked() or over.
--- a/src/program/lifecycle.cpp
+++ b/src/program/lifecycle.cpp
@@ -23,6 +23,9 @@
 constexpr double kMemberShare = 0.3;  // of the descriptors
 constexpr double kItemShare = 0.25;   // of the memory, for items in hand; the rest is for what they are read
                                       // from and answered with
+// Of the descriptors, for clients that have been served and may ask again. The platform's clients hold a
+// third of them at most: at half of that those that wait for a connection still get one.
+constexpr double kServedShare = 1.0 / 6;
 constexpr double kUnreadShare = 0.2;  // of it, for what clients have not ended or not read
 
 }  // namespace
@@ -91,6 +94,7 @@
     auto pg_front = std::make_unique<adapters::PgFront>(io_, config_.listen, clients, config_.classes,
                                                         adapters::PgOptions{}, *core_, log_);
     pg_front->limit_bytes(unread);
+    pg_front->limit_served(std::size_t(double(config_.sockets) * kServedShare));
     fronts_.push_back(std::move(pg_front));
     if (config_.rest.enabled) {
         adapters::RestOptions options;
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -263,6 +263,24 @@
     CHECK(no_memory > 0);
 }
 
+TEST_CASE("clients that ask once and stay leave room for others, long before the limit") {
+    PgRig rig(100);
+    rig.front.limit_served(3);
+    Client busy(rig.loop, rig.front.local());
+    busy.send(pg::Writer().startup("u", "d").query(sql("h1")).take());
+    std::vector<std::unique_ptr<Client>> clients;
+    for (int i = 0; i < 8; ++i) {
+        clients.push_back(std::make_unique<Client>(rig.loop, rig.front.local()));
+        clients.back()->send(pg::Writer().startup("u", "d").query(sql("s1")).take());
+        clients.back()->reply();
+        CHECK(clients.back()->reply() == "TDCZ");  // the answer first, whoever gives way
+    }
+    REQUIRE(rig.loop.until([&] { return rig.front.connections() == 3; }));
+    rig.loop.settle();
+    CHECK(!busy.closed);
+    for (int i = 0; i < 8; ++i) CHECK(clients[i]->closed == (i < 6));
+}
+
 TEST_CASE("at the limit silent connections displace each other, not who has been served") {
     PgRig rig(4);
     Client served(rig.loop, rig.front.local());
@@ -272,7 +290,7 @@
     std::vector<std::unique_ptr<Client>> silent;
     for (int i = 0; i < 12; ++i) {
         silent.push_back(std::make_unique<Client>(rig.loop, rig.front.local()));
-        rig.loop.settle();
+        for (int i = 0; i < 3; ++i) rig.loop.settle();  // they had their time to ask
     }
     CHECK(!served.closed);
     CHECK(silent.front()->closed);
