Forget members, groups and tokens a minute after they left; give up late waits for a connection

Seen in the code: Core::members_, uids_ and pools were kept for ever; so were the module's members, groups (one for every group number that a client made up) and up to 50000 tokens. Now members are numbered once and dropped 60 s after they left, when nothing refers to them; tokens go after 60 s and raise the floor for all session reads; a request for a group of nobody is refused at once; d counts for a minute at most. A link opened to a former endpoint is not used again.

--- a/src/adapters/pg_front.cpp
+++ b/src/adapters/pg_front.cpp
@@ -15,7 +15,8 @@
 constexpr std::size_t kStartupLimit = 10000;       // as PostgreSQL has it
 constexpr std::size_t kMessageLimit = 160 * 1024;  // 64 KiB in bytea's text form, and what stands round it
 constexpr std::size_t kValueLimit = 64 * 1024, kNameLimit = 1024;  // in bytes
-constexpr std::uint32_t kRowsLimit = 10000;                        // of a page
+constexpr auto kPatienceMost = std::chrono::seconds(60);  // all that is kept for a request ends by then
+constexpr std::uint32_t kRowsLimit = 10000;               // of a page
 constexpr std::uint32_t kByteaType = 17, kTextType = 25;
 
 template <typename T>
@@ -231,7 +232,7 @@
             auto wait = whole<std::int64_t>(*d);
             // None left is no mistake: the request is refused like any that comes too late.
             if (!wait || *wait < 0 || *wait > 3'600'000) return invalid("the wait (d) is out of range");
-            item.patience = std::chrono::milliseconds(*wait);
+            item.patience = std::min<Duration>(std::chrono::milliseconds(*wait), kPatienceMost);
         }
         if (auto after = s.field("after")) {
             auto position = whole<std::int64_t>(*after);
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -95,6 +95,8 @@
 constexpr Duration kListSpread = milliseconds(10);  // first calls of a fleet that starts at once, a proxy
 constexpr double kListLeast = 10;                   // and for so many at least
 constexpr std::size_t kSessionsKept = 50000;        // remembered tokens; older ones raise the floor for all
+constexpr Duration kTokenKept = seconds(60);        // likewise: no replica in use is so far behind
+constexpr Duration kMemberKept = seconds(60);       // after it left the list
 constexpr Duration kLogEvery = seconds(1);          // one log line in this time
 
 constexpr TimerId kUpkeepTimer{0};
@@ -118,6 +120,7 @@
     ZoneId zone{};
     bool listed = false;   // the list allows new work
     bool drained = false;  // the list has named it as draining since it was last ready
+    std::optional<Time> left;  // not listed since
     std::optional<Time> started;
 
     // learned
@@ -156,7 +159,6 @@
     Time reads_at{};
     double admit = 1;  // share of reads let in where windows can't bind
     std::optional<MemberId> logged_primary;
-    Time token_floor{};  // session reads without a remembered token must see this
 };
 
 struct Class {
@@ -229,6 +231,7 @@
     std::unordered_map<RequestId, Live> live;  // looked up, never walked
     std::unordered_map<SessionKey, Time> tokens;
     std::deque<std::pair<SessionKey, Time>> token_order;
+    Time token_floor{};  // session reads without a remembered token must see this
     Duration probe_every = kProbeAtLeast;
     std::vector<Group*> active;  // by the time since which upkeep looks after them
     bool begun = false, list_asked = false;
@@ -297,6 +300,26 @@
             for (auto& [id, m] : members) m.listed = !set.removal_binds.value_or(true) && !m.drained;
         for (const ListEntry& e : list.entries) learn_entry(e);
         for (auto& [id, g] : groups) pump(g);
+        forget();
+    }
+
+    // What left the list is forgotten after a while, so that a fleet that is replaced all the time costs no
+    // memory. Never while a request refers to it; one that comes back later is new.
+    void forget() {
+        for (auto it = members.begin(); it != members.end();) {
+            Member& m = it->second;
+            if (m.listed) m.left.reset();
+            if (!m.listed && !m.left) m.left = now;
+            bool over = m.left && now - *m.left > kMemberKept && m.out == 0 && !m.probing &&
+                        std::none_of(live.begin(), live.end(), [&](const auto& r) {
+                            return r.second.asked == &m || r.second.tried(&m);
+                        });
+            if (over) std::erase(groups[m.group].members, &m);
+            it = over ? members.erase(it) : std::next(it);
+        }
+        auto over = [](const Group& g) { return g.members.empty() && g.held.empty(); };
+        std::erase_if(active, [&](Group* g) { return over(*g); });
+        std::erase_if(groups, [&](const auto& g) { return over(g.second); });
     }
 
     void learn_entry(const ListEntry& e) {
@@ -326,6 +349,10 @@
             return;
         }
         Class& c = classes[index];
+        if (!groups.count(q.group)) {  // nor of such a group: no list has named a member of it
+            act(Refuse{q.id, advice(), false});
+            return;
+        }
         Live& r = live[q.id];
         r = Live{};
         r.id = q.id;
@@ -337,7 +364,7 @@
         r.deadline = now + q.patience;
         r.aim = std::min(now + c.aim - passed(c, q.patience), r.deadline);
         Group& g = groups[q.group];
-        if (c.consistency == Consistency::session) r.token = token_for(q, g);
+        if (c.consistency == Consistency::session) r.token = token_for(q);
         use(g, r);
         if (r.deadline <= now + kAnswerMargin || !admitted(g, r) || (c.late_share <= 0 && r.aim <= now)) {
             conclude(r);  // no answer could earn anything any more
@@ -394,11 +421,11 @@
         return std::max(Duration::zero(), c.deadline - patience);
     }
 
-    Time token_for(const Request& q, const Group& g) const {
+    Time token_for(const Request& q) const {
         if (set.tokens.value_or(TokenSource::carried) == TokenSource::carried)
             return q.since_last_write ? now - *q.since_last_write : Time{};
         auto it = q.session ? tokens.find(*q.session) : tokens.end();
-        return it == tokens.end() ? g.token_floor : std::max(it->second, g.token_floor);
+        return it == tokens.end() ? token_floor : std::max(it->second, token_floor);
     }
 
     void on(const Outcome& o) {
@@ -518,6 +545,7 @@
         }
         if (s == Status::unreachable) trip(m, Trouble::unreachable);
         if (s == Status::unreachable || s == Status::reset) probe(m);
+        if (s == Status::moot) m.rest_until = std::max(m.rest_until, now + kRest);  // no connection was free
         if (o.status == Status::full) {
             m.rest = std::clamp(m.rest * 2, kRest, kRestMost);
             m.rest_until = now + from_ms(ms(m.rest) * (0.5 + chance()));
@@ -841,17 +869,18 @@
                         (r.cls->effect == Effect::keyed && r.cls->scope == RepeatScope::all);
         cancel(r);
         bool late = now >= r.deadline - kAnswerMargin;
-        if (harmless) {
-            std::optional<Duration> after;
-            if (set.retry_after.value_or(false))
-                after = std::min(kRetryAfter, set.longest_retry_after.value_or(kRetryAfter));
-            act(Refuse{r.id, after, late});
-        } else {
+        if (harmless)
+            act(Refuse{r.id, advice(), late});
+        else
             act(Fail{r.id, late});
-        }
         finish(r);
     }
 
+    std::optional<Duration> advice() const {
+        if (!set.retry_after.value_or(false)) return std::nullopt;
+        return std::min(kRetryAfter, set.longest_retry_after.value_or(kRetryAfter));
+    }
+
     void cancel(const Live& r) {
         if (!set.cancels.value_or(false)) return;
         for (std::size_t i = 0; i < r.attempts.size(); ++i)
@@ -878,14 +907,18 @@
         Time& token = tokens[key];
         token = std::max(token, commit);
         token_order.push_back({key, commit});
-        if (token_order.size() <= kSessionsKept) return;
-        auto [old, when] = token_order.front();
-        token_order.pop_front();
-        auto it = tokens.find(old);
-        if (it == tokens.end() || it->second != when) return;
-        // Forgetting may not let a stale read through: from here on all session reads must see that commit.
-        for (auto& [id, g] : groups) g.token_floor = std::max(g.token_floor, when);
-        tokens.erase(it);
+        auto over = [&] {
+            return token_order.size() > kSessionsKept || now - token_order.front().second > kTokenKept;
+        };
+        while (!token_order.empty() && over()) {
+            auto [old, when] = token_order.front();
+            token_order.pop_front();
+            auto it = tokens.find(old);
+            if (it == tokens.end() || it->second != when) continue;
+            // Forgetting may not let a stale read through: from here on all session reads must see it.
+            token_floor = std::max(token_floor, when);
+            tokens.erase(it);
+        }
     }
 
     // ---- upkeep --------------------------------------------------------------------------------
--- a/src/routing/core.cpp
+++ b/src/routing/core.cpp
@@ -13,6 +13,9 @@
 constexpr Duration kSweep = seconds(1);  // idle connections are looked at this often
 // Closed this long before the member would: a request that crosses its closing could have run.
 constexpr double kIdleShare = 0.8;
+// Of a request's time. An attempt that still waits for a connection then ends as one that never ran, so that
+// the module can refuse or go elsewhere while that leaves the client time; later it would only cost it more.
+constexpr double kStartShare = 0.45;
 }  // namespace
 
 Clock::Clock()
@@ -55,6 +58,7 @@
         q.since_last_write = std::max(Duration(1), now - clock_.from_unix(*item.after_unix_ms * 1000));
     q.repeat = item.repeat;
     Entry& entry = entries_[id];
+    entry.arrived = now;
     entry.deadline = now + item.patience;
     entry.bytes = item.statement.size() + item.name.size() + (item.content ? item.content->size() : 0);
     held_bytes_ += entry.bytes;
@@ -77,23 +81,26 @@
 
 void Core::list(ListKind kind, const std::vector<MemberInfo>& infos) {
     List list{kind, {}};
-    std::vector<bool> named(members_.size(), false);
+    std::unordered_set<std::uint32_t> named;
     for (const MemberInfo& info : infos) {
-        auto [it, fresh] = uids_.try_emplace(info.uid, MemberId(members_.size()));
+        auto [it, fresh] = uids_.try_emplace(info.uid, MemberId(next_member_));
+        Member& m = members_[it->second];
         if (fresh) {
-            members_.push_back({});
-            members_.back().pool = std::make_unique<Pool>(
-                it->second, backend_, clock_, limits_.connect_timeout, static_cast<Pool::Owner&>(*this));
+            ++next_member_;
+            m.pool = std::make_unique<Pool>(it->second, backend_, clock_, limits_.connect_timeout,
+                                            static_cast<Pool::Owner&>(*this));
         }
-        std::size_t index = std::size_t(it->second);
-        if (index < named.size()) named[index] = true;
-        Member& m = members_[index];
+        named.insert(std::uint32_t(it->second));
         if (!info.endpoint.empty()) m.pool->set_endpoint(info.endpoint);
         std::string endpoint = info.endpoint.empty() ? m.info.endpoint : info.endpoint;
         m.info = info;
         m.info.endpoint = endpoint;
         m.refused_new = info.state != MemberState::ready;
         if (m.refused_new) m.pool->close_idle(Time::max());
+        if (info.state == MemberState::gone)
+            leave(m);
+        else
+            m.left.reset();
         ListEntry e;
         e.member = it->second;
         e.group = GroupId{info.group};
@@ -104,16 +111,23 @@
         list.entries.push_back(e);
     }
     if (kind != ListKind::changes && kind != ListKind::failed)
-        for (std::size_t i = 0; i < named.size(); ++i)
-            if (!named[i]) {
-                members_[i].refused_new = true;
-                members_[i].pool->close_idle(Time::max());
-            }
+        for (auto& [id, m] : members_)
+            if (!named.count(std::uint32_t(id))) leave(m);
     inbox_.push_back(std::move(list));
     wake();
 }
 
+void Core::leave(Member& m) {
+    m.refused_new = true;
+    m.pool->close_idle(Time::max());
+    if (!m.left) m.left = clock_.now();
+}
+
 void Core::on_job_end(Pool& pool, const Job& job, Result result) {
+    end_job(pool.member(), job, std::move(result));
+}
+
+void Core::end_job(MemberId id, const Job& job, Result result) {
     Time now = clock_.now();
     Report report = result.report;
     if (!plausible(result.position_unix_us)) {
@@ -124,14 +138,14 @@
         report = {};
     else if (result.report_position_unix_us)
         report.position = clock_.from_unix(*result.report_position_unix_us);
-    Member& m = members_[std::size_t(pool.member())];
+    Member* m = member(id);
     if (result.spoilt)
         logger_.log(Level::warning, "spoilt", result.spoilt,
-                    {{"member", m.info.uid}, {"asked", job.probe ? "probe" : "request"}});
+                    {{"member", m ? m->info.uid : ""}, {"asked", job.probe ? "probe" : "request"}});
     if (job.probe) {
-        if (!m.probe || !m.probe->same(job)) return;
-        m.probe.reset();
-        inbox_.push_back(ProbeResult{pool.member(), result.status, now - job.sent, report});
+        if (m && (!m->probe || !m->probe->same(job))) return;
+        if (m) m->probe.reset();
+        inbox_.push_back(ProbeResult{id, result.status, now - job.sent, report});
         wake();
         return;
     }
@@ -154,7 +168,7 @@
     Outcome o;
     o.id = job.id;
     o.attempt = job.number;
-    o.member = pool.member();
+    o.member = id;
     o.status = result.status;
     o.latency = now - job.sent;
     o.finished = !entry.responder;
@@ -193,7 +207,8 @@
 const Item* Core::may_start(const Pool& pool, const Job& job) {
     auto it = entries_.find(job.id);
     if (it == entries_.end() || !it->second.responder) return nullptr;
-    if (members_[std::size_t(pool.member())].refused_new || clock_.now() >= job.until) return nullptr;
+    const Member* m = member(pool.member());
+    if (!m || m->refused_new || clock_.now() >= job.until) return nullptr;
     return &it->second.item;
 }
 
@@ -201,7 +216,7 @@
     if (links_ >= limits_.links) {
         // All descriptors for members are taken: the connection that has stood idle longest gives way.
         Member* oldest = nullptr;
-        for (Member& m : members_) {
+        for (auto& [id, m] : members_) {
             auto since = m.pool->oldest_idle();
             if (since && (!oldest || *since < *oldest->pool->oldest_idle())) oldest = &m;
         }
@@ -219,7 +234,7 @@
     --links_;
     if (std::exchange(starved_, false))
         boost::asio::post(io_, [this] {
-            for (Member& m : members_) m.pool->serve_waiting();
+            for (auto& [id, m] : members_) m.pool->serve_waiting();
         });
 }
 
@@ -231,8 +246,7 @@
     collect_due(now);
     if (now >= swept_ + kSweep) {
         swept_ = now;
-        auto limit = Duration(std::int64_t(double(limits_.idle_limit.count()) * kIdleShare));
-        for (Member& m : members_) m.pool->close_idle(now - limit);
+        sweep(now);
     }
     std::vector<Event> batch;
     std::swap(batch, inbox_);
@@ -246,6 +260,8 @@
         auto it = entries_.find(id);
         if (it != entries_.end() && !it->second.responder && !it->second.out()) {
             held_bytes_ -= it->second.bytes;
+            for (const Attempt& a : it->second.attempts)
+                if (Member* m = member(a.member)) --m->attempts;
             entries_.erase(it);
         }
     }
@@ -253,18 +269,34 @@
     arm();
 }
 
+// Closes what stood idle for too long, and forgets members that left the list. Not while anything refers to
+// them, and not soon: one that comes back under its uid is known by the same number until then. The module
+// forgets by itself, and never sends to a member that is not listed.
+void Core::sweep(Time now) {
+    auto limit = Duration(std::int64_t(double(limits_.idle_limit.count()) * kIdleShare));
+    for (auto it = members_.begin(); it != members_.end();) {
+        Member& m = it->second;
+        m.pool->close_idle(m.refused_new ? Time::max() : now - limit);
+        bool over = m.left && now - *m.left > limits_.keep_left && m.attempts == 0 && !m.probe &&
+                    m.pool->links() == 0;
+        if (over) uids_.erase(m.info.uid);
+        it = over ? members_.erase(it) : std::next(it);
+    }
+}
+
 void Core::carry_out(const Action& action) {
     std::visit([this](const auto& a) { act(a); }, action);
 }
 
 Core::Member* Core::member(MemberId id) {
-    return std::size_t(id) < members_.size() ? &members_[std::size_t(id)] : nullptr;
+    auto it = members_.find(id);
+    return it == members_.end() ? nullptr : &it->second;
 }
 
 void Core::act(const Send& send) {
     auto it = entries_.find(send.id);
     Member* m = member(send.member);
-    if (it == entries_.end() || !m) return;  // the module knows no such thing
+    if (it == entries_.end()) return;  // the module knows no such thing
     Entry& entry = it->second;
     Job job;
     job.id = send.id;
@@ -274,15 +306,20 @@
     if (send.needs) job.needs = clock_.to_unix(*send.needs) / 1000;
     bool second = entry.out();
     entry.attempts.push_back({job, send.member, true});
-    if (second || !entry.responder) {
+    if (m) ++m->attempts;
+    if (second || !entry.responder || !m) {
         // Guards the rule that no two attempts of a request are out at once, whatever the module says.
         if (second) logger_.log(Level::error, "second-copy", "the module sent a second copy; held back");
         Result moot;
         moot.status = Status::moot;
-        on_job_end(*m->pool, job, std::move(moot));
+        end_job(send.member, job, std::move(moot));
         return;
     }
     set_alarm({job.until, 0, Alarm::Kind::job, {}, send.member, job});
+    Time start_by =
+        entry.arrived + std::chrono::duration_cast<Duration>((entry.deadline - entry.arrived) * kStartShare);
+    if (start_by > job.sent && start_by < job.until)
+        set_alarm({start_by, 0, Alarm::Kind::start, {}, send.member, job});
     m->pool->submit(job);
 }
 
@@ -290,8 +327,10 @@
     auto it = entries_.find(cancel.id);
     if (it == entries_.end() || cancel.attempt >= it->second.attempts.size()) return;
     Attempt attempt = it->second.attempts[cancel.attempt];
-    Pool& pool = *members_[std::size_t(attempt.member)].pool;
-    if (!attempt.out || pool.give_up(attempt.job) == Pool::Given::none) return;
+    Member* m = member(attempt.member);
+    if (!attempt.out || !m) return;
+    Pool& pool = *m->pool;
+    if (pool.give_up(attempt.job) == Pool::Given::none) return;
     Result result;
     result.status = Status::cancelled;
     on_job_end(pool, attempt.job, std::move(result));
@@ -323,11 +362,17 @@
 
 void Core::act(const Probe& probe) {
     Member* m = member(probe.member);
-    if (!m || m->probe) return;
     Job job;
     job.probe = true;
-    job.number = m->probes++;
     job.sent = clock_.now();
+    if (!m) {
+        Result moot;
+        moot.status = Status::moot;
+        end_job(probe.member, job, std::move(moot));
+        return;
+    }
+    if (m->probe) return;
+    job.number = m->probes++;
     job.until = job.sent + limits_.probe_timeout;
     m->probe = job;
     set_alarm({job.until, 0, Alarm::Kind::job, {}, probe.member, job});
@@ -364,7 +409,10 @@
         inbox_.push_back(Timer{alarm.timer});
         return;
     }
-    Pool& pool = *members_[std::size_t(alarm.member)].pool;
+    Member* m = member(alarm.member);
+    if (!m) return;
+    Pool& pool = *m->pool;
+    if (alarm.kind == Alarm::Kind::start && !pool.waits(alarm.job)) return;
     Pool::Given given = pool.give_up(alarm.job);
     if (given == Pool::Given::none) return;
     Result result;
--- a/src/routing/core.hpp
+++ b/src/routing/core.hpp
@@ -19,6 +19,7 @@
     Duration idle_limit = std::chrono::seconds(30);  // members close a connection that stood idle so long
     std::size_t bytes = 64 << 20;                    // of items in hand, all together
     std::size_t links = 256;                         // connections to members, all together
+    Duration keep_left = std::chrono::seconds(60);   // a member that left the list is known for so long
 };
 
 class Core : public Intake, private Pool::Owner {
@@ -41,6 +42,7 @@
     bool idle() const { return entries_.empty(); }
     std::size_t requests() const { return entries_.size(); }
     std::size_t links() const { return links_; }
+    std::size_t members() const { return members_.size(); }
 
   private:
     struct Attempt {
@@ -51,7 +53,7 @@
     struct Entry {
         Item item;
         Responder* responder = nullptr;  // none: the request has its final answer, or its client is gone
-        Time deadline{};
+        Time arrived{}, deadline{};
         std::size_t bytes = 0;
         std::vector<Attempt> attempts;
         bool over = false;
@@ -60,14 +62,16 @@
     struct Member {
         std::unique_ptr<Pool> pool;
         MemberInfo info;
-        bool refused_new = false;  // drains or is gone
+        bool refused_new = false;    // drains or is gone
+        std::optional<Time> left;    // when the list ceased to name it, or named it as gone
+        std::uint32_t attempts = 0;  // of requests in hand: they refer to it
         std::uint32_t probes = 0;
         std::optional<Job> probe;
     };
     struct Alarm {
         Time at;
         std::uint64_t order;
-        enum class Kind { module, job } kind;
+        enum class Kind { module, job, start } kind;  // start: a job is to be on a connection by now
         starlingpond::TimerId timer{};
         MemberId member{};
         Job job{};
@@ -82,6 +86,9 @@
     bool plausible(std::optional<std::int64_t> position_unix_us) const;
     static bool plausible(const starlingpond::Report& report);
     bool stale(const Job& job, const Result& result) const;
+    void end_job(MemberId id, const Job& job, Result result);
+    void leave(Member& m);
+    void sweep(Time now);
     void carry_out(const starlingpond::Action& action);
     void act(const starlingpond::Send& send);
     void act(const starlingpond::Cancel& cancel);
@@ -100,6 +107,7 @@
     void wake();
     void arm();
     Member* member(MemberId id);
+    const Member* member(MemberId id) const { return const_cast<Core*>(this)->member(id); }
 
     boost::asio::io_context& io_;
     const Clock& clock_;
@@ -113,7 +121,8 @@
     std::unordered_set<std::string> open_ids_;  // as clients name them: owed an answer, or out
     std::vector<RequestId> done_;               // over, but the module may not have heard
     std::map<std::string, MemberId> uids_;
-    std::vector<Member> members_;  // by MemberId
+    std::map<MemberId, Member> members_;
+    std::uint32_t next_member_ = 0;  // ids are never used again
     std::priority_queue<Alarm, std::vector<Alarm>, std::greater<>> alarms_;
     std::uint64_t next_request_ = 1, next_alarm_ = 0;
     boost::asio::steady_timer timer_;
--- a/src/routing/pool.cpp
+++ b/src/routing/pool.cpp
@@ -39,7 +39,8 @@
         auto entry = idle_.back();
         // Guards against what came behind an answer, which would be taken for the next one, and against
         // writing to a connection whose other side has closed.
-        if (!entry->link->quiet()) {
+        // A member may have moved while the connection was at work, too.
+        if (!entry->link->quiet() || entry->endpoint != endpoint_) {
             drop(entry);
             continue;
         }
@@ -52,7 +53,8 @@
 void Pool::open_for_waiting() {
     while (connecting_ < waiting_.size() && owner_.may_open()) {
         ++connecting_;
-        links_.push_back({backend_.open(endpoint_, connect_timeout_, *this), false, std::nullopt, {}});
+        links_.push_back(
+            {backend_.open(endpoint_, connect_timeout_, *this), endpoint_, false, std::nullopt, {}});
     }
 }
 
@@ -96,6 +98,10 @@
     return Given::out;
 }
 
+bool Pool::waits(const Job& job) const {
+    return std::any_of(waiting_.begin(), waiting_.end(), [&](const Job& j) { return j.same(job); });
+}
+
 void Pool::close_idle(Time idle_since_before) {
     while (!idle_.empty() && idle_.front()->idle_since < idle_since_before) close_oldest_idle();
 }
--- a/src/routing/pool.hpp
+++ b/src/routing/pool.hpp
@@ -49,6 +49,7 @@
     // Ends a job's wait. Its connection, if it has one, is closed first: nothing of it is out afterwards.
     enum class Given { none, waiting, out };  // what it was: not here, without a connection, or on one
     Given give_up(const Job& job);
+    bool waits(const Job& job) const;  // for a connection
     void close_idle(Time idle_since_before);
     bool close_oldest_idle();
     std::optional<Time> oldest_idle() const;
@@ -59,6 +60,7 @@
   private:
     struct Entry {
         std::shared_ptr<Link> link;
+        std::string endpoint;
         bool up = false;
         std::optional<Job> job;
         Time idle_since{};
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -278,5 +278,85 @@
     }
 }
 
+TEST_CASE(
+    "the module: groups and members that are no more cost nothing; a group of nobody is refused at once") {
+    using namespace starlingpond;
+    Time now{100s};
+    Brain brain(settings(), 3, now);
+    Actions actions;
+    auto run = [&](const Event& e) {
+        actions.clear();
+        brain.handle(now, e, actions);
+    };
+    auto refused = [&](std::uint64_t id, std::uint32_t group) {
+        Request q;
+        q.id = RequestId{id}, q.cls = ClassId{0}, q.group = GroupId{group}, q.patience = 1s;
+        run(q);
+        return std::any_of(actions.begin(), actions.end(), [](const Action& a) {
+            auto* r = std::get_if<Refuse>(&a);
+            return r && r->retry_after && !r->deadline;
+        });
+    };
+    List list{ListKind::full, {}};
+    list.entries.push_back({MemberId{1}, GroupId{1}, ZoneId{}, MemberState::ready, true, {}});
+    run(list);
+    CHECK(!refused(1, 1));  // held for its first probes
+    CHECK(refused(2, 77));
+    run(List{ListKind::full, {}});
+    run(Withdrawn{RequestId{1}});
+    now += 61s;
+    run(ProbeResult{MemberId{1}, Status::timeout, 250ms, {}});
+    run(Timer{TimerId{0}});
+    run(List{ListKind::changes, {}});
+    CHECK(refused(4, 1));
+}
+
+TEST_CASE("the module: tokens are kept for a minute; what is forgotten binds all session reads") {
+    using namespace starlingpond;
+    Time now{100s};
+    Brain brain(settings(), 3, now);
+    Actions actions;
+    auto run = [&](const Event& e) {
+        actions.clear();
+        brain.handle(now, e, actions);
+    };
+    List list{ListKind::full, {}};
+    list.entries.push_back({MemberId{1}, GroupId{1}, ZoneId{}, MemberState::ready, true, {}});
+    list.entries.push_back({MemberId{2}, GroupId{1}, ZoneId{}, MemberState::ready, false, {}});
+    run(list);
+    auto write = [&](std::uint64_t id) {
+        Request q;
+        q.id = RequestId{id}, q.cls = ClassId{2}, q.group = GroupId{1}, q.patience = 1s,
+        q.session = SessionKey{id};
+        run(q);
+        Outcome o;
+        o.id = q.id, o.member = MemberId{1}, o.status = Status::ok, o.finished = true, o.role = Role::primary;
+        o.position = now;
+        run(o);
+    };
+    auto needs = [&](std::uint64_t id) {
+        ProbeResult p;
+        p.member = MemberId{2}, p.status = Status::ok, p.report.position = now;
+        run(p);
+        Request q;
+        q.id = RequestId{id}, q.cls = ClassId{1}, q.group = GroupId{1}, q.patience = 1s,
+        q.session = SessionKey{id};
+        run(q);
+        for (const Action& a : actions)
+            if (auto* sent = std::get_if<Send>(&a)) return sent->needs;
+        FAIL("not sent");
+        return std::optional<Time>();
+    };
+    write(1);
+    Time first = now;
+    CHECK(!needs(50));
+    now += 59s;
+    write(2);
+    CHECK(!needs(51));  // still known by its session
+    now += 2s;
+    write(3);
+    CHECK(needs(52) == first);
+}
+
 }  // namespace
 }  // namespace indigovane::testing
--- a/tests/walk_test.cpp
+++ b/tests/walk_test.cpp
@@ -45,6 +45,7 @@
     }
     static routing::CoreLimits limits(std::size_t links) {
         routing::CoreLimits l;
+        l.keep_left = 0s;
         l.links = links;
         l.probe_timeout = l.connect_timeout = 2s;
         return l;
@@ -241,6 +242,59 @@
           std::string::npos);
 }
 
+TEST_CASE("a write whose connection does not come up is refused while its client has time left") {
+    PgDeployment d;
+    std::vector<boost::asio::ip::tcp::socket> mute;
+    transport::Listener listener(d.loop.io, loopback(),
+                                 [&](auto socket) { mute.push_back(std::move(socket)); });
+    listener.start();
+    auto primary = d.member(0, MemberState::ready);
+    primary.endpoint = text(listener.local());
+    d.core.list(ListKind::changes, {primary});
+    Client client(d.loop, d.pg.local());
+    client.send(pg::Writer()
+                    .startup("u", "d")
+                    .query("/* id=1,c=scan-write,t=a,d=700,k=1,cluster=3 */ INSERT INTO kv (name, content) "
+                           "VALUES ('a', '\\x00') RETURNING content")
+                    .take());
+    client.reply();
+    CHECK(client.reply() == "EZ");
+    CHECK(client.code == "53300");  // not 57014: its time was not up, and it never ran
+    CHECK(!client.detail.empty());
+}
+
+TEST_CASE_TEMPLATE("members that come and go are forgotten; one that comes back serves", D, RestDeployment,
+                   PgDeployment) {
+    D d;
+    Client client(d.loop, d.rest.local());
+    for (int day = 0; day < 4; ++day) {
+        CHECK(client.get(kPage).status == 200);
+        auto one = d.member(1, MemberState::gone), two = d.member(2, MemberState::ready);
+        if (day == 2) d.hosts[2].silent = true;
+        if (day == 2) client.send(http::write_request("GET", kPage + "&wait_ms=900", "test", {}));
+        int out = d.hosts[2].queries + d.hosts[1].queries;
+        if (day == 2) REQUIRE(d.loop.until([&] { return d.replica_queries() >= out; }));
+        if (day % 2)
+            d.core.list(ListKind::full, {d.member(0, MemberState::ready), two});
+        else
+            d.core.list(ListKind::changes, {one});
+        REQUIRE(d.loop.until([&] { return d.core.members() == 2; }));
+        if (day == 2) client.response();
+        d.hosts[2].silent = false;
+        two.uid = "new" + std::to_string(day);  // a new machine, then the old one again
+        d.core.list(ListKind::changes, {two, d.member(1, MemberState::ready)});
+        d.core.list(ListKind::changes, {d.member(2, MemberState::gone)});
+        int before = d.hosts[1].queries;
+        REQUIRE(d.loop.until([&] {
+            CHECK(client.get(kPage).status == 200);
+            return d.hosts[1].queries > before && d.core.members() == 3;
+        }));
+        two.state = MemberState::gone;
+        d.core.list(ListKind::changes, {two, d.member(2, MemberState::ready)});
+        REQUIRE(d.loop.until([&] { return d.core.members() == 3; }));
+    }
+}
+
 TEST_CASE("memory for items is given back when they are over") {
     PgDeployment d;
     CHECK(!d.core.has_room(std::size_t(64 << 20) + 1));
