Take rows up to 1 MiB from hosts again, and wait for clients that read slowly

A print of the headers: whole rows of 130 to 400 KB. Cause: the bound of 66 KB on rows that came with the strict answers, after PROTOCOL's 64 KiB; hosts send more. Each cost an attempt, a connection (6079 in all) and, twice, the breaker. Also: a session with an answer unread was closed 1.5 s after the last moment at which all had been written, so a slow reader of a large value would have lost it. Connection writes piece by piece now, and any piece is progress. The memory budget no longer closes a session that is owed the rest of an answer.

--- a/src/adapters/pg_backend.cpp
+++ b/src/adapters/pg_backend.cpp
@@ -17,10 +17,8 @@
 
 namespace {
 
-// What a message of an answer may be long at most: a value of 64 KiB as it is, in bytea's text form, and
-// beside its name in a page; all others.
-constexpr std::size_t kBinaryRowLimit = 66 * 1024, kTextRowLimit = 132 * 1024, kOtherLimit = 16 * 1024;
-constexpr std::size_t kRowLimit = kTextRowLimit + kBinaryRowLimit;
+// What a message of an answer may be long at most: a row, whose value may be some hundred KiB; all others.
+constexpr std::size_t kRowLimit = 1 << 20, kOtherLimit = 16 * 1024;
 constexpr std::size_t kPageLimit = 4 << 20;  // the rows of a page, all together
 // An answer that has begun is written by then. Guards against one that never ends, since its connection stays
 // open and silent. Could do harm where a lost packet takes longer to be sent again: the attempt is made anew.
@@ -139,7 +137,7 @@
             std::size_t length = 0;
             const char type = in.view()[0];
             if (!may_come(type)) return spoilt("a message that does not belong here");
-            pg::Next next = pg::next_message(in.view(), type == 'D' ? row_bytes() : kOtherLimit, m, length);
+            pg::Next next = pg::next_message(in.view(), type == 'D' ? kRowLimit : kOtherLimit, m, length);
             if (next == pg::Next::more) {
                 if (type == 'D' && !row_may_fit(in.view())) return spoilt("a row whose lengths do not fit");
                 break;
@@ -159,11 +157,6 @@
         return kinds[std::size_t(part_)].find(type) != std::string_view::npos;
     }
 
-    std::size_t row_bytes() const {
-        if (verb_ == Item::Verb::page && !probing_) return kRowLimit;
-        return result_.answer.binary ? kBinaryRowLimit : kTextRowLimit;
-    }
-
     // A row of one value tells its length twice: the two are compared before the value has come.
     bool row_may_fit(std::string_view in) const {
         if (verb_ == Item::Verb::page && !probing_) return true;
--- a/src/adapters/session.cpp
+++ b/src/adapters/session.cpp
@@ -67,7 +67,7 @@
            connection_->unwritten() <= limits_.unwritten && step(*in_))
         progress_ = has_begun_ = true;
     working_ = false;
-    if (state_ != State::over && door_.crowded(*this)) on_no_memory();
+    if (state_ != State::over && door_.crowded(*this) && connection_->unwritten() == 0) on_no_memory();
     if (state_ == State::over) return;
     watch();
     maybe_retire();
@@ -111,11 +111,17 @@
     ++watches_;
     watching_ = waits;
     if (!waits) return;
+    waited_for_ = connection_->unwritten();
     timer_.expires_after(limits_.patience);
     timer_.async_wait([weak = weak_from_this(), number = watches_](const transport::error_code& ec) {
         auto self = weak.lock();
         if (!self || ec || number != self->watches_ || self->state_ != State::between) return;
-        if (self->connection_->unwritten() == 0) return self->on_impatient();
+        std::size_t unwritten = self->connection_->unwritten();
+        if (unwritten == 0) return self->on_impatient();
+        if (unwritten < self->waited_for_) {  // it reads, if slowly
+            self->progress_ = true;
+            return self->watch();
+        }
         self->close();
         self->door_.leave(self);
     });
--- a/src/adapters/session.hpp
+++ b/src/adapters/session.hpp
@@ -74,7 +74,8 @@
     transport::Buffer* in_ = nullptr;  // the connection's
     State state_ = State::between;
     routing::RequestId request_{};
-    std::uint64_t watches_ = 0;  // begun so far: a ring of an earlier one says nothing
+    std::size_t waited_for_ = 0;  // unwritten when the watch began
+    std::uint64_t watches_ = 0;   // begun so far: a ring of an earlier one says nothing
     bool retiring_ = false, working_ = false, watching_ = false, progress_ = false, has_begun_ = false;
 };
 
--- a/src/routing/core.cpp
+++ b/src/routing/core.cpp
@@ -7,10 +7,8 @@
 
 using namespace starlingpond;
 using std::chrono::milliseconds;
-using std::chrono::seconds;
 
 namespace {
-constexpr Duration kSweep = seconds(1);  // idle connections are looked at this often
 // Closed this long before the member would: a request that crosses its closing could have run.
 constexpr double kIdleShare = 0.8;
 // Of a request's time. An attempt that still waits for a connection then ends as one that never ran, so that
@@ -244,7 +242,7 @@
     woken_ = false;
     Time now = clock_.now();
     collect_due(now);
-    if (now >= swept_ + kSweep) {
+    if (now >= swept_ + limits_.sweep) {
         swept_ = now;
         sweep(now);
     }
@@ -432,7 +430,7 @@
 void Core::arm() {
     std::optional<Time> next;
     if (!alarms_.empty()) next = alarms_.top().at;
-    if (links_ > 0) next = std::min(next.value_or(Time::max()), swept_ + kSweep);
+    if (links_ > 0) next = std::min(next.value_or(Time::max()), swept_ + limits_.sweep);
     if (next == armed_) return;
     armed_ = next;
     if (!next) {
--- a/src/routing/core.hpp
+++ b/src/routing/core.hpp
@@ -19,6 +19,7 @@
     Duration idle_limit = std::chrono::seconds(30);  // members close a connection that stood idle so long
     std::size_t bytes = 64 << 20;                    // of items in hand, all together
     std::size_t links = 256;                         // connections to members, all together
+    Duration sweep = std::chrono::seconds(1);        // idle connections and members are looked at this often
     Duration keep_left = std::chrono::seconds(60);   // a member that left the list is known for so long
 };
 
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -6,7 +6,6 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/coroutine.hpp>
 #include <boost/asio/error.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/asio/yield.hpp>
 #include <cerrno>
 
@@ -72,17 +71,23 @@
 
     explicit Writer(std::shared_ptr<Connection> c) : self(std::move(c)) {}
 
-    void operator()(error_code ec = {}, std::size_t = 0) {
+    void operator()(error_code ec = {}, std::size_t count = 0) {
         Connection& c = *self;
         if (c.state_ == State::closed) return;
         reenter(this) {
             while (!c.out_.empty()) {
                 std::swap(c.out_, c.writing_);
-                yield asio::async_write(c.socket_, asio::buffer(c.writing_), Writer(*this));
-                if (ec) {
-                    c.fail(ec);
-                    return;
+                while (c.written_ < c.writing_.size()) {
+                    yield c.socket_.async_write_some(
+                        asio::buffer(c.writing_.data() + c.written_, c.writing_.size() - c.written_),
+                        Writer(*this));
+                    if (ec) {
+                        c.fail(ec);
+                        return;
+                    }
+                    c.written_ += count;
                 }
+                c.written_ = 0;
                 c.writing_.clear();
                 if (c.writing_.capacity() > 16384) c.writing_.shrink_to_fit();
             }
--- a/src/transport/connection.hpp
+++ b/src/transport/connection.hpp
@@ -44,7 +44,7 @@
     bool quiet();     // open, with nothing unread and no end of the stream, here or in the kernel
     void write(std::string bytes);
     bool all_written() const { return out_.empty() && writing_.empty(); }
-    std::size_t unwritten() const { return out_.size() + writing_.size(); }
+    std::size_t unwritten() const { return out_.size() + writing_.size() - written_; }
 
     // While more than this is unread the connection reads no further.
     void limit_unread(std::size_t bytes) { limit_ = bytes; }
@@ -77,6 +77,7 @@
     Endpoint peer_;
     Buffer in_;
     std::string out_, writing_;  // waiting to be written; being written
+    std::size_t written_ = 0;    // of the latter
     std::size_t limit_ = 1 << 20;
     std::shared_ptr<void> token_;
     bool reading_ = false, writer_busy_ = false, close_when_written_ = false, established_ = false;
