--- /dev/null
+++ b/src/adapters/control_front.cpp
@@ -0,0 +1,120 @@
+#include "adapters/control_front.hpp"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+
+namespace indigovane::adapters {
+
+class ControlFront::Caller : public transport::Connection::Handler,
+                             public std::enable_shared_from_this<Caller> {
+  public:
+    Caller(ControlFront& front, std::uint64_t number)
+        : front_(front),
+          number_(number),
+          connection_(std::make_shared<transport::Connection>(front.io_)),
+          timer_(front.io_) {
+        connection_->limit_unread(front.limits_.line + 1);
+    }
+    ~Caller() { connection_->detach(); }
+
+    void begin(boost::asio::ip::tcp::socket socket) {
+        connection_->adopt(std::move(socket), *this);
+        timer_.expires_after(front_.limits_.patience);
+        timer_.async_wait([weak = weak_from_this()](const transport::error_code& ec) {
+            auto self = weak.lock();
+            if (self && !ec) self->finish("-ERR no whole call has come");
+        });
+    }
+    void on_data(transport::Buffer& in) override {
+        std::string_view text = in.view();
+        std::size_t end = text.find('\n');
+        if (std::min(end, text.size()) > front_.limits_.line) return finish("-ERR the line is too long");
+        if (end == std::string_view::npos) return;
+        std::string_view line = text.substr(0, end);
+        if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
+        finish(front_.answer(line));
+    }
+    void on_closed(const transport::error_code&) override { finish({}); }
+    // An empty answer: there is nobody to read one.
+    void finish(std::string answer) {
+        auto self = shared_from_this();
+        if (std::exchange(over_, true)) return;
+        timer_.cancel();
+        if (answer.empty()) {
+            connection_->close();
+        } else {
+            connection_->write(std::move(answer) + "\n");
+            // What is unread yet would reset the connection before the answer is read: it lingers.
+            connection_->close_after_writing(front_.linger());
+        }
+        front_.leave(number_);
+    }
+
+  private:
+    ControlFront& front_;
+    std::uint64_t number_;
+    std::shared_ptr<transport::Connection> connection_;
+    boost::asio::steady_timer timer_;
+    bool over_ = false;
+};
+
+ControlFront::ControlFront(boost::asio::io_context& io, const transport::Endpoint& at, ControlLimits limits,
+                           Operations& operations, routing::Logger& logger)
+    : io_(io),
+      limits_(limits),
+      operations_(operations),
+      logger_(logger),
+      listener_(io, at, [this](auto socket) { take(std::move(socket)); }) {}
+
+ControlFront::~ControlFront() {
+    close();
+}
+
+void ControlFront::close() {
+    listener_.close();
+    while (!callers_.empty()) callers_.begin()->second->finish({});
+}
+
+// Guards calls against callers that hold a connection and say nothing: no number of them leaves a whole call
+// waiting.
+void ControlFront::take(boost::asio::ip::tcp::socket socket) {
+    if (callers_.size() >= limits_.callers)
+        callers_.begin()->second->finish("-ERR too many calls are unfinished");
+    auto caller = std::make_shared<Caller>(*this, ++came_);
+    callers_.emplace(came_, caller);
+    caller->begin(std::move(socket));
+}
+
+void ControlFront::leave(std::uint64_t number) {
+    callers_.erase(number);
+}
+
+std::shared_ptr<void> ControlFront::linger() const {
+    return std::size_t(lingering_.use_count()) <= limits_.lingering ? lingering_ : nullptr;
+}
+
+std::string ControlFront::answer(std::string_view line) {
+    std::size_t space = line.find(' ');
+    std::string_view call = line.substr(0, space);
+    std::string argument(space == std::string_view::npos ? std::string_view{} : line.substr(space + 1));
+    Operations::Reply reply;
+    if (call == "check" && argument.empty())
+        reply = operations_.check();
+    else if ((call == "drain-on" || call == "drain-off") && argument.empty())
+        reply = operations_.drain(call == "drain-on");
+    else if (call == "set-down" && !argument.empty())
+        reply = operations_.set_down(argument);
+    else if (call == "set-up" && !argument.empty())
+        reply = operations_.set_up(argument);
+    else
+        reply = {false, "unknown call; check, set-down ID, set-up ID, drain-on, drain-off"};
+    if (call != "check" || !reply.ok) {
+        std::string printable;
+        for (char c : line.substr(0, 80)) printable += c >= 0x20 && c < 0x7f ? c : '?';
+        logger_.log(routing::Level::notice, "control", reply.text,
+                    {{"call", printable}, {"ok", reply.ok ? "yes" : "no"}});
+    }
+    return std::string(reply.ok ? "+OK " : "-ERR ") + reply.text;
+}
+
+}  // namespace indigovane::adapters
--- /dev/null
+++ b/src/adapters/control_front.hpp
@@ -0,0 +1,65 @@
+// The operators' address: one line a connection, answered by one line that begins with +OK or -ERR.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+
+#include "routing/interfaces.hpp"
+#include "transport/listener.hpp"
+
+namespace indigovane::adapters {
+
+// What operators may call. Each call may be made again: it then changes nothing more.
+class Operations {
+  public:
+    struct Reply {
+        bool ok = false;
+        std::string text;
+    };
+    virtual Reply check() = 0;
+    virtual Reply set_down(const std::string& uid) = 0;
+    virtual Reply set_up(const std::string& uid) = 0;
+    virtual Reply drain(bool on) = 0;
+
+  protected:
+    ~Operations() = default;
+};
+
+struct ControlLimits {
+    std::size_t callers = 32;    // at once; beyond that the one waited for longest gives way
+    std::size_t lingering = 16;  // connections that have their answer and are not closed by the caller yet
+    std::size_t line = 256;      // bytes
+    std::chrono::milliseconds patience{5000};  // with a caller that has not sent its whole line
+
+    std::size_t sockets() const { return callers + lingering + 1; }
+};
+
+class ControlFront {
+  public:
+    ControlFront(boost::asio::io_context& io, const transport::Endpoint& at, ControlLimits limits,
+                 Operations& operations, routing::Logger& logger);
+    ~ControlFront();
+    void start() { listener_.start(); }
+    void close();
+    std::size_t callers() const { return callers_.size(); }
+    transport::Endpoint local() const { return listener_.local(); }
+
+  private:
+    class Caller;
+    void take(boost::asio::ip::tcp::socket socket);
+    void leave(std::uint64_t number);
+    std::shared_ptr<void> linger() const;
+    std::string answer(std::string_view line);
+
+    boost::asio::io_context& io_;
+    ControlLimits limits_;
+    Operations& operations_;
+    routing::Logger& logger_;
+    std::map<std::uint64_t, std::shared_ptr<Caller>> callers_;  // by their coming
+    std::uint64_t came_ = 0;
+    std::shared_ptr<int> lingering_ = std::make_shared<int>(0);  // as many others hold it as linger
+    transport::Listener listener_;
+};
+
+}  // namespace indigovane::adapters
--- a/src/adapters/door.cpp
+++ b/src/adapters/door.cpp
@@ -6,7 +6,10 @@
 namespace indigovane::adapters {
 
 Door::Door(boost::asio::io_context& io, const transport::Endpoint& at, std::size_t most)
-    : io_(io), listener_(io, at, [this](auto socket) { take(std::move(socket)); }), most_(most) {}
+    : io_(io),
+      listener_(io, at, [this](auto socket) { take(std::move(socket)); }),
+      most_(most),
+      sweeper_(io) {}
 
 Door::~Door() {
     for (const auto& [use, session] : sessions_) session->close();
@@ -27,9 +30,29 @@
 
 void Door::close_idle() {
     retiring_ = true;
+    sweep();
+}
+
+void Door::welcome() {
+    retiring_ = refusing_ = false;
+    sweeper_.cancel();
+}
+
+// A connection whose first request is on its way would be closed in its face otherwise.
+bool Door::retires(const Session& session) const {
+    constexpr auto time_to_ask = std::chrono::milliseconds(300);
+    return retiring_ && (session.served || std::chrono::steady_clock::now() >= session.came + time_to_ask);
+}
+
+void Door::sweep() {
+    constexpr auto every = std::chrono::milliseconds(20);
     std::vector<std::shared_ptr<Session>> all;
     for (const auto& [use, session] : sessions_) all.push_back(session);
     for (const auto& session : all) session->retire();
+    sweeper_.expires_after(every);
+    sweeper_.async_wait([this](const transport::error_code& ec) {
+        if (!ec && retiring_) sweep();
+    });
 }
 
 void Door::take(boost::asio::ip::tcp::socket socket) {
@@ -37,7 +60,6 @@
     session->used = ++uses_;
     session->came = std::chrono::steady_clock::now();
     sessions_.emplace(session->used, session);
-    if (retiring_) session->retire();
     if (sessions_.size() >= most_) make_room(*session);
 }
 
--- a/src/adapters/door.hpp
+++ b/src/adapters/door.hpp
@@ -22,12 +22,17 @@
     void start() override;
     void stop_accepting() override;
     void close_idle() override;
+    void refuse_checks() override { refusing_ = true; }
+    void welcome() override;
     std::size_t connections() const override { return sessions_.size(); }
     std::string address() const override;
     transport::Endpoint local() const { return listener_.local(); }
 
     void touch(Session& session);                         // it has had a request, or the answer to one
     void leave(const std::shared_ptr<Session>& session);  // the session is over
+    bool refusing() const { return refusing_; }
+    // Whether a session is to close between requests: one that has just come has a moment to ask first.
+    bool retires(const Session& session) const;
     // Whether the sessions hold too much and this one has a large part in it.
     bool crowded(Session& session);
     // A token for a connection that lingers after its session; none when too many do.
@@ -49,7 +54,10 @@
     std::size_t served_most_ = std::size_t(-1), served_ = 0;
     std::size_t bytes_most_ = 16 << 20, bytes_ = 0;
     std::shared_ptr<int> lingering_ = std::make_shared<int>(0);  // as many others hold it as linger
-    bool retiring_ = false;
+    void sweep();
+
+    bool retiring_ = false, refusing_ = false;
+    boost::asio::steady_timer sweeper_;
 };
 
 }  // namespace indigovane::adapters
--- a/src/adapters/pg_front.cpp
+++ b/src/adapters/pg_front.cpp
@@ -161,6 +161,11 @@
             return reject({pg::sqlstate::syntax_error, "the comment or a literal is malformed"});
         if (statement.several) return reject({pg::sqlstate::syntax_error, "a query holds one statement"});
         if (statement.body.empty()) {
+            if (refusing())
+                return write(pg::Writer()
+                                 .error("ERROR", pg::sqlstate::cannot_connect_now, "clients are sent away")
+                                 .ready()
+                                 .take());
             write(pg::Writer().empty_query().ready().take());
             return;
         }
--- a/src/adapters/session.cpp
+++ b/src/adapters/session.cpp
@@ -31,8 +31,15 @@
 }
 
 void Session::retire() {
-    retiring_ = true;
-    maybe_retire();
+    if (retiring() && state_ == State::between && !connection_->readable()) leave();
+}
+
+bool Session::retiring() const {
+    return door_.retires(*this);
+}
+
+bool Session::refusing() const {
+    return door_.refusing();
 }
 
 void Session::close() {
@@ -70,7 +77,7 @@
     if (state_ != State::over && door_.crowded(*this) && connection_->unwritten() == 0) on_no_memory();
     if (state_ == State::over) return;
     watch();
-    maybe_retire();
+    retire();
     if (state_ != State::over) connection_->resume();
 }
 
@@ -97,10 +104,6 @@
     door_.leave(shared_from_this());
 }
 
-void Session::maybe_retire() {
-    if (retiring_ && state_ == State::between && !connection_->readable()) leave();
-}
-
 // Guards against clients that hold a connection and its memory without ever being served: silent ones, those
 // that begin and don't end, and those that don't read. Each whole message, and all being read, is progress.
 void Session::watch() {
--- a/src/adapters/session.hpp
+++ b/src/adapters/session.hpp
@@ -28,7 +28,7 @@
 
     void begin(boost::asio::ip::tcp::socket socket);
     bool between_requests();  // nothing is owed to this client, and nothing of it is unread
-    void retire();            // closes as soon as that is so
+    void retire();            // closes if that is so and the door wants it
     void close();             // at once
     // The door's notes on it.
     std::uint64_t used = 0;                      // when it last had a request, or came, as a count
@@ -54,7 +54,8 @@
     void leave(bool unread = false);
     bool asked() const { return state_ == State::asked; }
     bool over() const { return state_ == State::over; }
-    bool retiring() const { return retiring_; }
+    bool retiring() const;  // to be closed after this request
+    bool refusing() const;  // whoever asks whether to send clients here is to be told no
 
   private:
     enum class State { between, asked, over };
@@ -63,7 +64,6 @@
     void on_written() override;
     void on_closed(const transport::error_code& ec) override;
     void work();
-    void maybe_retire();
     void watch();
 
     Door& door_;
@@ -76,7 +76,7 @@
     routing::RequestId request_{};
     std::size_t waited_for_ = 0;  // unwritten when the watch began
     std::uint64_t watches_ = 0;   // begun so far: a ring of an earlier one says nothing
-    bool retiring_ = false, working_ = false, watching_ = false, progress_ = false, has_begun_ = false;
+    bool working_ = false, watching_ = false, progress_ = false, has_begun_ = false;
 };
 
 }  // namespace indigovane::adapters
--- a/src/program/config.cpp
+++ b/src/program/config.cpp
@@ -88,6 +88,8 @@
         c.name = root.value("name", variable("LB_NAME"));
         c.listen = endpoint(root.value("listen", variable("LB_LISTEN")), "listen");
         c.discovery = endpoint(root.value("discovery", variable("LB_DISCOVERY")), "discovery");
+        if (std::string at = root.value("control", variable("LB_CONTROL")); !at.empty())
+            c.control = endpoint(at, "control");
         if (root.contains("seed")) c.seed = read_seed(root["seed"]);
         if (root.contains("limits")) {
             c.memory_mb = std::size_t(root["limits"].value("memory_mb", 192.0));
--- a/src/program/config.hpp
+++ b/src/program/config.hpp
@@ -32,6 +32,7 @@
 struct Config {
     std::string name = "indigovane";
     transport::Endpoint listen, discovery;
+    std::optional<transport::Endpoint> control;  // for operators alone; none: that front is off
     std::uint64_t seed = 0;
     std::size_t memory_mb = 192, sockets = 1024;
     routing::MemberList known;
--- a/src/program/lifecycle.cpp
+++ b/src/program/lifecycle.cpp
@@ -15,19 +15,29 @@
 namespace {
 // Clients may still come by for so long after the signal: whoever sends them here hears of it late.
 constexpr auto kLinger = milliseconds(500);
+// Whoever sends clients here asks every 100 ms, and sends some for 200 ms after a no.
+constexpr auto kRefusing = milliseconds(400);
+// What another process has stored is looked at this often; a drain leaves 2 s.
+constexpr auto kTakenOutEvery = milliseconds(200);
 constexpr auto kDrainSlack = milliseconds(150);
 constexpr auto kDrainCheck = milliseconds(5);
 // Descriptors for standard streams, the event loop, the listener, discovery, and sessions that are just
 // coming or going.
 constexpr std::size_t kSpareSockets = 40;
-constexpr double kMemberShare = 0.3;  // of the descriptors
-constexpr double kItemShare = 0.25;   // of the memory, for items in hand; the rest is for what they are read
-                                      // from and answered with
+constexpr adapters::ControlLimits kControlLimits;  // its descriptors are set aside as well
+constexpr double kMemberShare = 0.3;               // of the descriptors
+constexpr double kItemShare = 0.25;  // of the memory, for items in hand; the rest is for what they are read
+                                     // from and answered with
 // Of the descriptors, for clients that have been served and may ask again. The platform's clients hold a
 // third of them at most: at half of that those that wait for a connection still get one.
 constexpr double kServedShare = 1.0 / 6;
 constexpr double kUnreadShare = 0.2;  // of it, for what clients have not ended or not read
 
+std::string scratch_folder() {
+    const char* folder = std::getenv("TMPDIR");
+    return folder ? folder : "";
+}
+
 }  // namespace
 
 const char* name(Phase phase) {
@@ -38,6 +48,10 @@
             return "serving";
         case Phase::reloading:
             return "reloading";
+        case Phase::refusing:
+            return "refusing";
+        case Phase::away:
+            return "away";
         case Phase::lingering:
             return "lingering";
         case Phase::draining:
@@ -52,9 +66,11 @@
     : config_(config),
       reread_(std::move(reread)),
       log_(log),
+      taken_out_(scratch_folder(), config.name),
       stop_signals_(io_, SIGTERM, SIGINT),
       reload_signals_(io_, SIGHUP),
-      timer_(io_) {}
+      timer_(io_),
+      taken_out_timer_(io_) {}
 
 Lifecycle::~Lifecycle() {
     log_.also({});
@@ -68,7 +84,7 @@
 void Lifecycle::start() {
     await_stop();
     await_reload();
-    std::size_t usable = config_.sockets - kSpareSockets;
+    std::size_t usable = config_.sockets - kSpareSockets - (config_.control ? kControlLimits.sockets() : 0);
     CoreLimits limits;
     limits.connect_timeout = limits.probe_timeout = config_.connect_timeout;
     limits.idle_limit = config_.idle_limit;
@@ -84,7 +100,9 @@
     core_ = std::make_unique<Core>(io_, clock_, config_.settings, config_.seed, limits, *backend_, log_);
     catalog_ =
         std::make_unique<Catalog>(io_, config_.discovery, config_.zones, *core_, log_, Catalog::Timing{});
+    core_->lay_over(taken_out_.uids());
     catalog_->seed(config_.known);
+    watch_taken_out();
     if (config_.settings.list_mode == starlingpond::ListMode::asked)
         core_->on_follow_list([this] { catalog_->follow(); });
     else
@@ -114,6 +132,15 @@
         log_.log(Level::notice, "listening", "", {{"front", front->name()}, {"at", front->address()}});
     }
     enter(Phase::serving);
+    if (config_.control) {
+        control_ = std::make_unique<adapters::ControlFront>(io_, *config_.control, kControlLimits,
+                                                            static_cast<Operations&>(*this), log_);
+        control_->start();
+        log_.log(Level::notice, "listening", "",
+                 {{"front", "control"},
+                  {"at", control_->local().address().to_string() + ":" +
+                             std::to_string(control_->local().port())}});
+    }
 }
 
 int Lifecycle::run() {
@@ -163,8 +190,61 @@
     if (phase_ == Phase::serving && !catalog_->told()) enter(Phase::reloading);
 }
 
+void Lifecycle::watch_taken_out() {
+    taken_out_timer_.expires_after(kTakenOutEvery);
+    taken_out_timer_.async_wait([this](const boost::system::error_code& ec) {
+        if (ec) return;
+        if (taken_out_.refresh()) core_->lay_over(taken_out_.uids());
+        watch_taken_out();
+    });
+}
+
+// ---- what operators call -----------------------------------------------------------------------
+
+Lifecycle::Reply Lifecycle::check() {
+    bool ready = phase_ == Phase::serving || phase_ == Phase::reloading;
+    return {ready, name(phase_)};
+}
+
+Lifecycle::Reply Lifecycle::set_out(const std::string& uid, bool out) {
+    try {
+        taken_out_.refresh();
+        // One that has left the list may still be put back: it was taken out under this id.
+        if (!core_->knows(uid) && !taken_out_.uids().count(uid)) return {false, "no host has this id"};
+        taken_out_.change(uid, out);
+    } catch (const std::exception& error) {
+        return {false, error.what()};
+    }
+    core_->lay_over(taken_out_.uids());
+    return {true, out ? "taken out" : "in use"};
+}
+
+Lifecycle::Reply Lifecycle::drain(bool on) {
+    bool away = phase_ == Phase::refusing || phase_ == Phase::away;
+    if (!away && phase_ != Phase::serving && phase_ != Phase::reloading)
+        return {false, std::string("it is ") + name(phase_)};
+    if (on == away) return {true, name(phase_)};
+    if (!on) {
+        timer_.cancel();
+        for (auto& front : fronts_) front->welcome();
+        enter(catalog_->told() ? Phase::serving : Phase::reloading);
+        return {true, name(phase_)};
+    }
+    for (auto& front : fronts_) front->refuse_checks();
+    enter(Phase::refusing);
+    timer_.expires_after(kRefusing);
+    timer_.async_wait([this](const boost::system::error_code& ec) {
+        if (ec || phase_ != Phase::refusing) return;
+        for (auto& front : fronts_) front->close_idle();
+        enter(Phase::away);
+    });
+    return {true, name(phase_)};
+}
+
+// ---- the end -----------------------------------------------------------------------------------
+
 void Lifecycle::on_stop() {
-    if (phase_ != Phase::serving && phase_ != Phase::reloading) return;
+    if (phase_ == Phase::lingering || phase_ == Phase::draining || phase_ == Phase::stopped) return;
     enter(Phase::lingering);
     timer_.expires_after(kLinger);
     timer_.async_wait([this](const boost::system::error_code& ec) {
--- a/src/program/lifecycle.hpp
+++ b/src/program/lifecycle.hpp
@@ -8,9 +8,11 @@
 #include <memory>
 #include <vector>
 
+#include "adapters/control_front.hpp"
 #include "adapters/syslog_sink.hpp"
 #include "program/config.hpp"
 #include "program/log.hpp"
+#include "program/taken_out.hpp"
 #include "routing/catalog.hpp"
 #include "routing/core.hpp"
 
@@ -20,13 +22,15 @@
     starting,   // nothing listens yet
     serving,    // all is as it should be
     reloading,  // serving, with a new configuration whose discovery has not told its list yet
+    refusing,   // operators send clients away: serves all, but says no where it is asked whether to send some
+    away,       // the same, and connections close between requests
     lingering,  // told to stop: still takes in and serves what comes, for a moment
     draining,   // takes nothing new; finishes what it has
     stopped
 };
 const char* name(Phase phase);
 
-class Lifecycle {
+class Lifecycle : private adapters::Operations {
   public:
     // `reread` reads the configuration again, as it is by then; it throws ConfigError where it is bad.
     Lifecycle(const Config& config, std::function<Config()> reread, Log& log);
@@ -42,6 +46,13 @@
     void on_stop();
     void on_reload();
     void check_drained();
+    void watch_taken_out();
+
+    Reply check() override;
+    Reply set_down(const std::string& uid) override { return set_out(uid, true); }
+    Reply set_up(const std::string& uid) override { return set_out(uid, false); }
+    Reply set_out(const std::string& uid, bool out);
+    Reply drain(bool on) override;
 
     const Config& config_;
     std::function<Config()> reread_;
@@ -54,8 +65,10 @@
     std::unique_ptr<routing::Core> core_;
     std::unique_ptr<routing::Catalog> catalog_;
     std::vector<std::unique_ptr<routing::Front>> fronts_;
+    std::unique_ptr<adapters::ControlFront> control_;
+    TakenOut taken_out_;
     boost::asio::signal_set stop_signals_, reload_signals_;
-    boost::asio::steady_timer timer_;
+    boost::asio::steady_timer timer_, taken_out_timer_;
     routing::Time drain_until_{};
 };
 
--- a/src/routing/core.cpp
+++ b/src/routing/core.cpp
@@ -93,20 +93,11 @@
         std::string endpoint = info.endpoint.empty() ? m.info.endpoint : info.endpoint;
         m.info = info;
         m.info.endpoint = endpoint;
-        m.refused_new = info.state != MemberState::ready;
-        if (m.refused_new) m.pool->close_idle(Time::max());
         if (info.state == MemberState::gone)
             leave(m);
         else
             m.left.reset();
-        ListEntry e;
-        e.member = it->second;
-        e.group = GroupId{info.group};
-        e.zone = ZoneId{info.zone};
-        e.state = info.state;
-        e.primary = info.primary;
-        if (info.boot_unix_ms != 0) e.started = clock_.from_unix(info.boot_unix_ms * 1000);
-        list.entries.push_back(e);
+        list.entries.push_back(entry(it->second, m));
     }
     if (kind != ListKind::changes && kind != ListKind::failed)
         for (auto& [id, m] : members_)
@@ -115,6 +106,44 @@
     wake();
 }
 
+// The one place in which what operators have taken out is laid over what the list says.
+ListEntry Core::entry(MemberId id, Member& m) {
+    ListEntry e;
+    e.member = id;
+    e.group = GroupId{m.info.group};
+    e.zone = ZoneId{m.info.zone};
+    e.state = m.info.state;
+    if (e.state == MemberState::ready && taken_out_.count(m.info.uid)) e.state = MemberState::draining;
+    e.primary = m.info.primary;
+    if (m.info.boot_unix_ms != 0) e.started = clock_.from_unix(m.info.boot_unix_ms * 1000);
+    if (auto back = put_back_.find(m.info.uid); back != put_back_.end())
+        e.started = std::max(e.started.value_or(back->second), back->second);
+    m.refused_new = e.state != MemberState::ready;
+    if (m.refused_new) m.pool->close_idle(Time::max());
+    return e;
+}
+
+void Core::lay_over(const std::set<std::string>& taken_out) {
+    std::set<std::string> before = std::exchange(taken_out_, taken_out);
+    List list{ListKind::changes, {}};
+    auto tell = [&](const std::string& uid) {
+        auto known = uids_.find(uid);
+        if (known == uids_.end()) return;
+        Member& m = members_.at(known->second);
+        if (!m.left) list.entries.push_back(entry(known->second, m));
+    };
+    for (const std::string& uid : before)
+        if (!taken_out_.count(uid)) {
+            put_back_[uid] = clock_.now();
+            tell(uid);
+        }
+    for (const std::string& uid : taken_out_)
+        if (!before.count(uid)) tell(uid);
+    if (list.entries.empty()) return;
+    inbox_.push_back(std::move(list));
+    wake();
+}
+
 void Core::leave(Member& m) {
     m.refused_new = true;
     m.pool->close_idle(Time::max());
@@ -272,6 +301,7 @@
 // them, and not soon: one that comes back under its uid is known by the same number until then. The module
 // forgets by itself, and never sends to a member that is not listed.
 void Core::sweep(Time now) {
+    std::erase_if(put_back_, [&](const auto& p) { return now - p.second > limits_.keep_left; });
     auto limit = Duration(std::int64_t(double(limits_.idle_limit.count()) * kIdleShare));
     for (auto it = members_.begin(); it != members_.end();) {
         Member& m = it->second;
--- a/src/routing/core.hpp
+++ b/src/routing/core.hpp
@@ -5,6 +5,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <map>
 #include <queue>
+#include <set>
 #include <unordered_map>
 #include <unordered_set>
 
@@ -34,6 +35,10 @@
     bool is_open(const std::string& id) const override { return open_ids_.count(id) > 0; }
     void withdraw(RequestId id) override;
     void list(starlingpond::ListKind kind, const std::vector<MemberInfo>& members);
+    // These uids are out: whatever list names them, they drain. One that is put back counts as started now,
+    // since its operators had it to themselves meanwhile.
+    void lay_over(const std::set<std::string>& taken_out);
+    bool knows(const std::string& uid) const { return uids_.count(uid) > 0; }
     void on_follow_list(std::function<void()> follow) { follow_ = std::move(follow); }
 
     // Hands everything that has come in since the last batch to the module in one go, then carries out what
@@ -88,6 +93,7 @@
     static bool plausible(const starlingpond::Report& report);
     bool stale(const Item& item, const Job& job, const Result& result) const;
     void end_job(MemberId id, const Job& job, Result result);
+    starlingpond::ListEntry entry(MemberId id, Member& m);  // as the module is to see it
     void leave(Member& m);
     void sweep(Time now);
     void carry_out(const starlingpond::Action& action);
@@ -122,6 +128,8 @@
     std::unordered_set<std::string> open_ids_;  // as clients name them: owed an answer, or out
     std::vector<RequestId> done_;               // over, but the module may not have heard
     std::map<std::string, MemberId> uids_;
+    std::set<std::string> taken_out_;
+    std::map<std::string, Time> put_back_;
     std::map<MemberId, Member> members_;
     std::uint32_t next_member_ = 0;  // ids are never used again
     std::priority_queue<Alarm, std::vector<Alarm>, std::greater<>> alarms_;
--- a/src/routing/interfaces.hpp
+++ b/src/routing/interfaces.hpp
@@ -52,6 +52,8 @@
     virtual void start() = 0;
     virtual void stop_accepting() = 0;  // what the machine has accepted is still taken in
     virtual void close_idle() = 0;      // closes between requests, now and from now on
+    virtual void refuse_checks() = 0;   // says no where it is asked whether to send clients here
+    virtual void welcome() = 0;         // undoes the last two
     virtual std::size_t connections() const = 0;
     virtual std::string name() const = 0;     // of its wire
     virtual std::string address() const = 0;  // where it listens
--- /dev/null
+++ b/tests/operation_test.cpp
@@ -0,0 +1,263 @@
+// What operators' staff do day by day: calls at the control address, hosts taken out, clients sent away.
+#include <unistd.h>
+
+#include <cstdlib>
+#include <filesystem>
+
+#include "adapters/control_front.hpp"
+#include "program/taken_out.hpp"
+#include "support/deployment.hpp"
+
+namespace indigovane::testing {
+namespace {
+
+struct Calls : adapters::Operations {
+    Reply note(std::string call) {
+        calls.push_back(std::move(call));
+        return {calls.size() % 2 == 0, "noted"};
+    }
+    Reply check() override { return note("check"); }
+    Reply set_down(const std::string& uid) override { return note("down " + uid); }
+    Reply set_up(const std::string& uid) override { return note("up " + uid); }
+    Reply drain(bool on) override { return note(on ? "away" : "back"); }
+    std::vector<std::string> calls;
+};
+
+struct ControlRig {
+    Loop loop;
+    NullLogger logger;
+    Calls calls;
+    adapters::ControlFront front;
+    explicit ControlRig(adapters::ControlLimits limits) : front(loop.io, loopback(), limits, calls, logger) {
+        front.start();
+    }
+};
+
+// A caller's states: some of a line sent, the line whole, answered; what the model keeps is the line.
+TEST_CASE("control: each whole line is answered once, whatever others leave unfinished") {
+    Dice dice(71);
+    ControlRig rig({.callers = 6, .lingering = 2, .line = 64, .patience = 20s});
+    std::vector<std::unique_ptr<Client>> silent;  // hold a connection without a whole call
+    const std::pair<std::string, std::string> lines[] = {
+        {"check", "check"},         {"check\r", "check"}, {"set-down s-1", "down s-1"},
+        {"set-up s-2", "up s-2"},   {"drain-on", "away"}, {"drain-off", "back"},
+        {"set-down", ""},           {"drain-on now", ""}, {"", ""},
+        {std::string(3, '\0'), ""}, {"checkcheck", ""},   {std::string(200, 'x'), ""}};
+    for (int round = 0; round < 200; ++round) {
+        if (dice.below(2)) {
+            silent.push_back(std::make_unique<Client>(rig.loop, rig.front.local()));
+            if (dice.below(2)) silent.back()->send("chec");
+            if (silent.size() > 20) silent.erase(silent.begin());
+        }
+        auto& [line, call] = lines[dice.below(std::size(lines))];
+        std::size_t before = rig.calls.calls.size();
+        Client client(rig.loop, rig.front.local());
+        std::string bytes = line + "\n";
+        std::size_t cut = dice.below(bytes.size());
+        client.send(bytes.substr(0, cut));
+        rig.loop.io.restart();
+        rig.loop.io.poll();
+        client.send(bytes.substr(cut));
+        REQUIRE(rig.loop.until([&] { return client.in.find('\n') != std::string::npos || client.closed; }));
+        bool ok = !call.empty() && rig.calls.calls.size() % 2 == 0;
+        CHECK(client.in.substr(0, 4) == (ok ? "+OK " : "-ERR"));
+        CHECK(client.in.find('\n') == client.in.size() - 1);
+        if (call.empty()) {
+            CHECK(rig.calls.calls.size() == before);
+        } else {
+            REQUIRE(rig.calls.calls.size() == before + 1);
+            CHECK(rig.calls.calls.back() == call);
+        }
+        CHECK(rig.front.callers() <= 6);
+    }
+}
+
+TEST_CASE("control: a caller without a whole call is told so in time") {
+    ControlRig rig({.patience = 5ms});
+    Client client(rig.loop, rig.front.local());
+    client.send("set-down s-");
+    REQUIRE(rig.loop.until([&] { return client.closed; }));
+    CHECK(client.in.substr(0, 4) == "-ERR");
+    CHECK(rig.calls.calls.empty());
+}
+
+struct Folder {
+    Folder() {
+        std::string name = (std::filesystem::temp_directory_path() / "indigovane-XXXXXX").string();
+        path = ::mkdtemp(name.data());
+    }
+    ~Folder() { std::filesystem::remove_all(path); }
+    std::string path;
+};
+
+TEST_CASE("hosts taken out: stored before the yes, seen by the other process, and after a start") {
+    Folder folder;
+    program::TakenOut one(folder.path, "n1"), two(folder.path, "n1"), other(folder.path, "n2");
+    std::set<std::string> model;
+    Dice dice(5);
+    for (int step = 0; step < 200; ++step) {
+        std::string uid = "s-" + std::to_string(dice.below(5));
+        bool out = dice.below(2);
+        (dice.below(2) ? one : two).change(uid, out);
+        out ? void(model.insert(uid)) : void(model.erase(uid));
+        one.refresh();
+        two.refresh();
+        CHECK(one.uids() == model);
+        CHECK(two.uids() == model);
+        CHECK(program::TakenOut(folder.path, "n1").uids() == model);
+        CHECK(!one.refresh());
+    }
+    CHECK(!other.refresh());
+    CHECK(other.uids().empty());
+    std::set<std::string> before = one.uids();
+    std::filesystem::remove_all(folder.path);  // nothing can be stored any more: nothing is changed
+    CHECK_THROWS(one.change("s-9", true));
+    CHECK(one.uids() == before);
+    program::TakenOut nowhere("", "n1");
+    nowhere.change("s-1", true);
+    CHECK(nowhere.uids() == std::set<std::string>{"s-1"});
+}
+
+using PgDeployment = Deployment<adapters::PgBackend, PgHost>;
+
+std::string read(int id) {
+    return pg::Writer()
+        .query("/* id=q" + std::to_string(id) +
+               ",c=stock-view,t=a,d=3000,cluster=3 */ SELECT content FROM kv WHERE name = 'r101'")
+        .take();
+}
+
+TEST_CASE("a host taken out gets nothing, whatever is listed, until it is put back") {
+    PgDeployment d;
+    Client client(d.loop, d.pg.local());
+    client.send(pg::Writer().startup("u", "d").take());
+    client.reply();
+    int asked = 0;
+    auto ask = [&](int count) {
+        for (int i = 0; i < count; ++i) {
+            client.send(read(asked++));
+            CHECK(client.reply() == "TDCZ");
+        }
+    };
+    ask(40);
+    REQUIRE(d.hosts[1].queries > 0);
+    REQUIRE(d.hosts[2].queries > 0);
+    d.core.lay_over({"m1"});
+    int before = d.hosts[1].queries;
+    Dice dice(3);
+    for (int round = 0; round < 20; ++round) {
+        switch (dice.below(5)) {
+            case 0:  // listed as ready, by a change
+                d.core.list(ListKind::changes, {d.member(1, MemberState::ready)});
+                break;
+            case 1:  // by a whole list
+                d.core.list(ListKind::full, {d.member(0, MemberState::ready), d.member(1, MemberState::ready),
+                                             d.member(2, MemberState::ready)});
+                break;
+            case 2:  // gone, left out, and back: restarted meanwhile
+                d.core.list(ListKind::changes, {d.member(1, MemberState::gone)});
+                break;
+            case 3:
+                d.core.list(ListKind::full,
+                            {d.member(0, MemberState::ready), d.member(2, MemberState::ready)});
+                d.loop.settle();  // forgotten: nothing refers to it
+                break;
+            case 4:
+                d.core.lay_over({"m1", "unknown"});
+                break;
+        }
+        ask(4);
+    }
+    CHECK(d.hosts[1].queries == before);
+    d.core.list(ListKind::full, {d.member(0, MemberState::ready), d.member(1, MemberState::ready),
+                                 d.member(2, MemberState::ready)});
+    ask(4);
+    CHECK(d.hosts[1].queries == before);
+    d.core.lay_over({});
+    REQUIRE(d.loop.until([&] {  // once a probe has told its position
+        ask(1);
+        return d.hosts[1].queries > before;
+    }));
+}
+
+// A cold member gets part of its share; one that was put back is cold whatever its start was.
+TEST_CASE("a host that is put back counts as started just then") {
+    auto queries = [](bool taken_out) {
+        auto s = settings();
+        s.cold_from = 0.1, s.ramp = 1h;
+        PgDeployment d(64, s);
+        Client client(d.loop, d.pg.local());
+        client.send(pg::Writer().startup("u", "d").take());
+        client.reply();
+        if (taken_out) {
+            d.core.lay_over({"m1"});
+            d.loop.settle();
+            d.core.lay_over({});
+            d.core.list(ListKind::changes, {d.member(1, MemberState::ready)});
+        }
+        for (int i = 0; i < 200; ++i) {
+            client.send(read(i));
+            REQUIRE(client.reply() == "TDCZ");
+        }
+        return d.hosts[1].queries;
+    };
+    int warm = queries(false), cold = queries(true);
+    CHECK(warm > 60);
+    CHECK(cold > 0);
+    CHECK(cold < warm / 3);
+}
+
+TEST_CASE("clients sent away: checks say no, what comes is served, connections close, and all is undone") {
+    PgDeployment d;
+    Dice dice(17);
+    auto start = [&](Client& c) {
+        c.send(pg::Writer().startup("u", "d").take());
+        c.reply();
+    };
+    auto check = [&](Client& c) {
+        c.send(pg::Writer().query("").take());
+        return c.reply();
+    };
+    int id = 0;
+    for (int round = 0; round < 6; ++round) {
+        Client idle(d.loop, d.pg.local()), busy(d.loop, d.pg.local());
+        start(idle);
+        start(busy);
+        CHECK(check(idle) == "IZ");
+        d.pg.refuse_checks();
+        CHECK(check(idle) == "EZ");
+        CHECK(idle.code == "57P03");
+        idle.send(read(++id));
+        CHECK(idle.reply() == "TDCZ");  // it stays, and is served, until connections close
+        if (dice.below(2)) {
+            d.hosts[1].silent = d.hosts[2].silent = true;
+            busy.send(read(++id));
+            REQUIRE(d.loop.until([&] { return d.core.requests() == 1; }));
+            d.pg.close_idle();
+            REQUIRE(d.loop.until([&] { return idle.closed; }));
+            CHECK(!busy.closed);  // nothing that was taken is lost
+            d.hosts[1].silent = d.hosts[2].silent = false;
+            for (auto& server : d.servers) server->drop_all();
+            CHECK(busy.reply() == "TDCZ");
+        } else {
+            d.pg.close_idle();
+        }
+        REQUIRE(d.loop.until([&] { return idle.closed && busy.closed; }));
+        Client late(d.loop, d.pg.local());  // the listener stays
+        start(late);
+        CHECK(check(late) == "EZ");
+        late.send(read(++id));
+        CHECK(late.reply() == "TDCZ");
+        REQUIRE(d.loop.until([&] { return late.closed; }));
+        d.pg.welcome();
+        Client back(d.loop, d.pg.local());
+        start(back);
+        CHECK(check(back) == "IZ");
+        d.loop.settle();
+        CHECK(!back.closed);
+        CHECK(d.pg.connections() == 1);
+    }
+}
+
+}  // namespace
+}  // namespace indigovane::testing
--- a/tests/program_test.sh
+++ b/tests/program_test.sh
@@ -11,8 +11,8 @@
 [ "$(printf 'SYNC timeMs=1.0 frame=1\nOVER_TO_YOU\n\n' | "$adapter")" = "EOR frame=1" ] || fail "adapter"
 
 cat > "$work/config.json" <<'J'
-{"name":"t1","listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"8c1f30d27a5be964",
- "limits":{"cores":1.0,"memory_mb":192,"sockets":256},"known":{"rev":1,"all":true,"targets":[]},
+{"name":"t1","listen":"127.0.0.1:0","control":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"8c1f30d27a5be964",
+ "limits":{"cores":1.0,"memory_mb":192,"sockets":256},"known":{"rev":1,"all":true,"targets":[{"uid":"s-1","endpoint":"127.0.0.1:9"}]},
  "settings":{"azs":["a"],"allowed":{"connectTimeoutMs":250.0},"registryMode":"automatic",
   "classes":[{"name":"stock-view","effect":"retryable","sloMs":250.0,"hardLimitMs":1000.0}]}}
 J
@@ -39,6 +39,8 @@
 expect 0 "REST front on" "$program" check-config --config "$work/config.json" --rest "$work/rest.json"
 expect 0 "REST front off" "$program" check-config --config "$work/config.json"
 
+export TMPDIR="$work/scratch"
+mkdir "$TMPDIR"
 "$program" serve --config "$work/config.json" --rest "$work/rest.json" > "$work/log" 2>&1 &
 pid=$!
 for _ in $(seq 400); do grep -q "phase.*serving" "$work/log" && break; sleep 0.05; done
@@ -52,6 +54,30 @@
     for _ in $(seq 400); do grep -q "$1" "$work/log" && return; sleep 0.05; done
     fail "it never said '$1'"
 }
+# The control address, its port from the log.
+call() {  # call LINE ANSWER
+    local port got
+    port=$(sed -n 's/.*listening.*front="control" at="127.0.0.1:\([0-9]*\)".*/\1/p' "$work/log")
+    exec 4<>"/dev/tcp/127.0.0.1/$port" || fail "the control address does not listen"
+    echo "$1" >&4
+    read -r got <&4
+    exec 4>&-
+    case "$got" in "$2"*) ;; *) fail "'$1' was answered '$got', not '$2'" ;; esac
+}
+call check "+OK serving"
+call "set-down s-2" "-ERR"
+call "set-down s-1" "+OK"
+grep -qx s-1 "$TMPDIR/t1.down" || fail "what is taken out is not stored"
+call "set-down s-1" "+OK"
+call "set-up s-1" "+OK"
+grep -q s-1 "$TMPDIR/t1.down" && fail "what is put back is still stored"
+call drain-on "+OK"
+call check "-ERR"
+said 'phase.*away'
+call drain-off "+OK"
+call "check" "+OK"
+call "no-such-call" "-ERR"
+
 # SIGHUP: a bad file changes nothing, a good one moves to its discovery; neither ends the program.
 cp "$work/config.json" "$work/first.json"
 echo '{"listen":' > "$work/config.json"
--- a/tests/walk_test.cpp
+++ b/tests/walk_test.cpp
@@ -1,63 +1,9 @@
 // Whole paths on loopback: a front, the core with its module, a backend, and hosts that stand in for members.
-#include "adapters/pg_backend.hpp"
-#include "adapters/pg_front.hpp"
-#include "adapters/rest_backend.hpp"
-#include "adapters/rest_front.hpp"
-#include "support/harness.hpp"
+#include "support/deployment.hpp"
 
 namespace indigovane::testing {
 namespace {
 
-using routing::MemberInfo;
-using starlingpond::ListKind;
-using starlingpond::MemberState;
-
-// One primary and two replicas of one group behind both fronts.
-template <typename Backend, typename StandInHost>
-struct Deployment {
-    Loop loop;
-    NullLogger logger;
-    routing::Clock clock;
-    Host hosts[3];
-    std::vector<std::unique_ptr<StandInHost>> servers;
-    Backend backend{loop.io};
-    routing::Core core;
-    adapters::Classes known = classes();
-    adapters::RestFront rest;
-    adapters::PgFront pg;
-
-    explicit Deployment(std::size_t links = 64)
-        : core(loop.io, clock, settings(), 7, limits(links), backend, logger),
-          rest(loop.io, loopback(), 64, known, {.page_size = 4, .page_size_most = 10}, core, logger),
-          pg(loop.io, loopback(), 64, known, {}, core, logger) {
-        hosts[0].primary = true;
-        for (Host& host : hosts) {
-            servers.push_back(std::make_unique<StandInHost>(loop, host));
-            for (int i = 0; i < 23; ++i)
-                host.rows["r" + std::to_string(100 + i)] = "value" + std::to_string(i);
-        }
-        std::vector<MemberInfo> members;
-        for (std::size_t i = 0; i < 3; ++i) members.push_back(member(i, MemberState::ready));
-        core.list(ListKind::full, members);
-        loop.batch = [this] { core.run_batch(); };
-        rest.start();
-        pg.start();
-    }
-    static routing::CoreLimits limits(std::size_t links) {
-        routing::CoreLimits l;
-        l.keep_left = 0s, l.sweep = 10ms;
-        l.links = links;
-        l.probe_timeout = l.connect_timeout = 2s;
-        return l;
-    }
-    MemberInfo member(std::size_t i, MemberState state) {
-        MemberInfo m;
-        m.uid = "m" + std::to_string(i), m.endpoint = servers[i]->address();
-        m.group = 3, m.state = state, m.primary = i == 0;
-        return m;
-    }
-    int replica_queries() const { return hosts[1].queries + hosts[2].queries; }
-};
 using RestDeployment = Deployment<adapters::RestBackend, RestHost>;
 using PgDeployment = Deployment<adapters::PgBackend, PgHost>;
 
