--- a/src/adapters/rest_front.cpp
+++ b/src/adapters/rest_front.cpp
@@ -76,7 +76,7 @@
             if (problem->status == 405) more.push_back({"Allow", "GET, HEAD"});
             reply(*problem, more);
         } else if (health_ && refusing()) {
-            reply({503, "sent-away", "Clients are sent away", ""});
+            reply({503, "sent-away", "Clients are sent away", ""}, {});
         } else if (health_) {
             respond(200, {{"Content-Type", "application/json"}}, json{{"status", "serving"}}.dump());
         } else if (is_open(item.id)) {
