--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 JOBS ?= 4
 OWN = src/program src/adapters src/routing src/protocol src/transport
 OWN_SOURCES = $(wildcard $(addsuffix /*.cpp,$(OWN)) $(addsuffix /*.hpp,$(OWN)) tests/support/*.hpp \
-              tests/backend_test.cpp tests/front_test.cpp tests/operation_test.cpp tests/pool_test.cpp tests/protocol_test.cpp tests/service_test.cpp \
+              tests/backend_test.cpp tests/front_test.cpp tests/operation_test.cpp tests/pool_test.cpp tests/protocol_test.cpp tests/service_test.cpp tests/upgrade_test.cpp \
               tests/walk_test.cpp)
 
 .PHONY: build test sanitize lint format run clean
--- a/include/starlingpond/brain.hpp
+++ b/include/starlingpond/brain.hpp
@@ -17,6 +17,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -151,7 +152,11 @@
     Settings settings;
     std::vector<std::optional<ClassId>> continues;  // by class: the one before whose experience it takes over
 };
-using Event = std::variant<List, Request, Outcome, Withdrawn, ProbeResult, Timer, Retune>;
+struct Tokens {  // sessions' last commits, the oldest first, as another process of the same proxy knows them
+    std::vector<std::pair<SessionKey, Time>> commits;
+    Time floor{};  // session reads without one must see this
+};
+using Event = std::variant<List, Request, Outcome, Withdrawn, ProbeResult, Timer, Retune, Tokens>;
 
 // ---- actions
 // ------------------------------------------------------------------------------------------------
@@ -198,6 +203,7 @@
 
     // Appends what to do about the event to `out`.
     void handle(Time now, const Event& event, Actions& out);
+    Tokens tokens() const;  // all that are remembered
 
   private:
     struct State;
--- a/src/adapters/door.cpp
+++ b/src/adapters/door.cpp
@@ -1,11 +1,13 @@
 #include "adapters/door.hpp"
 
+#include <unistd.h>
+
 #include <utility>
 #include <vector>
 
 namespace indigovane::adapters {
 
-Door::Door(boost::asio::io_context& io, const transport::Endpoint& at, std::size_t most)
+Door::Door(boost::asio::io_context& io, const transport::ListenAt& at, std::size_t most)
     : io_(io),
       listener_(io, at, [this](auto socket) { take(std::move(socket)); }),
       most_(most),
@@ -56,10 +58,43 @@
 }
 
 void Door::take(boost::asio::ip::tcp::socket socket) {
-    auto session = open(std::move(socket));
+    take_in(open(), std::move(socket), {});
+}
+
+// Guards clients in an upgrade: a connection goes on in the other process as if nothing had happened, and no
+// request that is under way on it meets a closing.
+std::size_t Door::hand_over(const std::function<void(routing::ClientParcel)>& to) {
+    std::vector<std::shared_ptr<Session>> all;
+    for (const auto& [use, session] : sessions_) all.push_back(session);
+    std::size_t handed = 0;
+    for (const auto& session : all)
+        if (auto parcel = session->release()) {
+            leave(session);
+            to(std::move(*parcel));
+            ++handed;
+        }
+    return handed;
+}
+
+void Door::take_over(routing::ClientParcel parcel) {
+    auto session = open();
+    session->restore(parcel.state);
+    transport::error_code ec;
+    boost::asio::ip::tcp::socket socket(io_);
+    socket.assign(local().protocol(), parcel.socket, ec);
+    if (ec) {
+        ::close(parcel.socket);
+        return;
+    }
+    take_in(std::move(session), std::move(socket), parcel.read);
+}
+
+void Door::take_in(std::shared_ptr<Session> session, boost::asio::ip::tcp::socket socket,
+                   std::string_view read) {
     session->used = ++uses_;
     session->came = std::chrono::steady_clock::now();
     sessions_.emplace(session->used, session);
+    session->begin(std::move(socket), read);
     if (sessions_.size() >= most_) make_room(*session);
 }
 
--- a/src/adapters/door.hpp
+++ b/src/adapters/door.hpp
@@ -11,7 +11,7 @@
 
 class Door : public routing::Front {
   public:
-    Door(boost::asio::io_context& io, const transport::Endpoint& at, std::size_t most);
+    Door(boost::asio::io_context& io, const transport::ListenAt& at, std::size_t most);
     // So many sessions that have been served may stay open, busy or not. Beyond that the one between requests
     // for longest is closed: clients may hold only so many connections, too, and those that ask once and stay
     // would leave the others none.
@@ -24,6 +24,9 @@
     void close_idle() override;
     void refuse_checks() override { refusing_ = true; }
     void welcome() override;
+    int listening_socket() override { return listener_.socket(); }
+    std::size_t hand_over(const std::function<void(routing::ClientParcel)>& to) override;
+    void take_over(routing::ClientParcel parcel) override;
     std::size_t connections() const override { return sessions_.size(); }
     std::string address() const override;
     transport::Endpoint local() const { return listener_.local(); }
@@ -39,10 +42,12 @@
     std::shared_ptr<void> linger() const;
 
   protected:
-    virtual std::shared_ptr<Session> open(boost::asio::ip::tcp::socket socket) = 0;
+    virtual std::shared_ptr<Session> open() = 0;
 
   private:
     void take(boost::asio::ip::tcp::socket socket);
+    void take_in(std::shared_ptr<Session> session, boost::asio::ip::tcp::socket socket,
+                 std::string_view read);
     void make_room(const Session& newcomer);
     void close(const std::shared_ptr<Session>& session);
 
--- a/src/adapters/pg_front.cpp
+++ b/src/adapters/pg_front.cpp
@@ -62,6 +62,10 @@
     }
 
     bool unfinished() const override { return expects_ == Expects::startup; }
+    char wire_state() const override { return char(expects_); }
+    void restore(char state) override {
+        if (state >= char(Expects::startup) && state <= char(Expects::sync)) expects_ = Expects(state);
+    }
     void on_impatient() override {
         fatal(pg::sqlstate::protocol_violation, unfinished() ? "no startup packet" : "half a message");
     }
@@ -320,10 +324,8 @@
 
 }  // namespace
 
-std::shared_ptr<Session> PgFront::open(boost::asio::ip::tcp::socket socket) {
-    auto session = std::make_shared<PgSession>(io_, *this, classes_, options_, intake_, logger_);
-    session->begin(std::move(socket));
-    return session;
+std::shared_ptr<Session> PgFront::open() {
+    return std::make_shared<PgSession>(io_, *this, classes_, options_, intake_, logger_);
 }
 
 }  // namespace indigovane::adapters
--- a/src/adapters/pg_front.hpp
+++ b/src/adapters/pg_front.hpp
@@ -12,7 +12,7 @@
 
 class PgFront : public Door {
   public:
-    PgFront(boost::asio::io_context& io, const transport::Endpoint& at, std::size_t most,
+    PgFront(boost::asio::io_context& io, const transport::ListenAt& at, std::size_t most,
             const Classes& classes, PgOptions options, routing::Intake& intake, routing::Logger& logger)
         : Door(io, at, most),
           io_(io),
@@ -24,7 +24,7 @@
     std::string name() const override { return "pg"; }
 
   protected:
-    std::shared_ptr<Session> open(boost::asio::ip::tcp::socket socket) override;
+    std::shared_ptr<Session> open() override;
 
   private:
     boost::asio::io_context& io_;
--- a/src/adapters/rest_front.cpp
+++ b/src/adapters/rest_front.cpp
@@ -289,10 +289,8 @@
     return text;
 }
 
-std::shared_ptr<Session> RestFront::open(boost::asio::ip::tcp::socket socket) {
-    auto session = std::make_shared<RestSession>(io_, *this, intake_);
-    session->begin(std::move(socket));
-    return session;
+std::shared_ptr<Session> RestFront::open() {
+    return std::make_shared<RestSession>(io_, *this, intake_);
 }
 
 }  // namespace indigovane::adapters
--- a/src/adapters/rest_front.hpp
+++ b/src/adapters/rest_front.hpp
@@ -17,7 +17,7 @@
 
 class RestFront : public Door {
   public:
-    RestFront(boost::asio::io_context& io, const transport::Endpoint& at, std::size_t most,
+    RestFront(boost::asio::io_context& io, const transport::ListenAt& at, std::size_t most,
               const Classes& classes, RestOptions options, routing::Intake& intake, routing::Logger& logger)
         : Door(io, at, most),
           io_(io),
@@ -34,7 +34,7 @@
     std::string name() const override { return "rest"; }
 
   protected:
-    std::shared_ptr<Session> open(boost::asio::ip::tcp::socket socket) override;
+    std::shared_ptr<Session> open() override;
 
   private:
     boost::asio::io_context& io_;
--- a/src/adapters/session.cpp
+++ b/src/adapters/session.cpp
@@ -17,8 +17,8 @@
     connection_->detach();
 }
 
-void Session::begin(boost::asio::ip::tcp::socket socket) {
-    connection_->adopt(std::move(socket), *this);
+void Session::begin(boost::asio::ip::tcp::socket socket, std::string_view read) {
+    connection_->adopt(std::move(socket), *this, read);
     watch();
 }
 
@@ -49,6 +49,17 @@
     connection_->close();
 }
 
+std::optional<routing::ClientParcel> Session::release() {
+    constexpr std::size_t most = 16384;  // more stays here until it is whole
+    if (state_ != State::between || connection_->unread().size() > most) return std::nullopt;
+    routing::ClientParcel parcel{-1, wire_state(), std::string(connection_->unread())};
+    parcel.socket = connection_->release();
+    if (parcel.socket < 0) return std::nullopt;
+    state_ = State::over;
+    timer_.cancel();
+    return parcel;
+}
+
 void Session::on_data(transport::Buffer& in) {
     auto self = shared_from_this();
     in_ = &in;
--- a/src/adapters/session.hpp
+++ b/src/adapters/session.hpp
@@ -26,7 +26,9 @@
     Session(boost::asio::io_context& io, Door& door, routing::Intake& intake, Limits limits);
     virtual ~Session();
 
-    void begin(boost::asio::ip::tcp::socket socket);
+    void begin(boost::asio::ip::tcp::socket socket, std::string_view read = {});
+    std::optional<routing::ClientParcel> release();    // the session is over then; nothing: not now
+    virtual void restore(char) { has_begun_ = true; }  // before begin()
     bool between_requests();  // nothing is owed to this client, and nothing of it is unread
     void retire();            // closes if that is so and the door wants it
     void close();             // at once
@@ -42,6 +44,7 @@
     virtual bool step(transport::Buffer& in) = 0;
     // More is owed by the client before it may stay for as long as it likes.
     virtual bool unfinished() const { return !has_begun_; }
+    virtual char wire_state() const { return 0; }
     virtual void on_impatient() = 0;  // a request does not end, or no first one has come: leave()
     virtual void on_no_memory() = 0;  // what the clients hold together is too much: leave()
 
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -476,6 +476,11 @@
         pump(groups[m.group]);
     }
 
+    void on(const Tokens& t) {
+        for (auto [key, commit] : t.commits) remember(key, commit);
+        token_floor = std::max(token_floor, t.floor);
+    }
+
     void on(const Retune& t) {
         auto before = std::exchange(classes, {});
         apply(t.settings);
@@ -998,6 +1003,14 @@
 Brain::Brain(Brain&&) noexcept = default;
 Brain& Brain::operator=(Brain&&) noexcept = default;
 
+Tokens Brain::tokens() const {
+    Tokens all{{}, state_->token_floor};
+    for (auto& [key, commit] : state_->token_order)
+        if (auto it = state_->tokens.find(key); it != state_->tokens.end() && it->second == commit)
+            all.commits.push_back({key, commit});
+    return all;
+}
+
 void Brain::handle(Time now, const Event& event, Actions& out) {
     state_->now = now;
     state_->acts = &out;
--- a/src/program/lifecycle.cpp
+++ b/src/program/lifecycle.cpp
@@ -19,6 +19,8 @@
 constexpr auto kRefusing = milliseconds(400);
 // What another process has stored is looked at this often; a drain leaves 2 s.
 constexpr auto kTakenOutEvery = milliseconds(200);
+// An heir waits so long for discovery's list before it serves with the one in its configuration.
+constexpr auto kListWait = std::chrono::seconds(3);
 constexpr auto kDrainSlack = milliseconds(150);
 constexpr auto kDrainCheck = milliseconds(5);
 // Descriptors for standard streams, the event loop, the listener, discovery, and sessions that are just
@@ -44,6 +46,8 @@
     switch (phase) {
         case Phase::starting:
             return "starting";
+        case Phase::inheriting:
+            return "inheriting";
         case Phase::serving:
             return "serving";
         case Phase::reloading:
@@ -54,6 +58,8 @@
             return "away";
         case Phase::lingering:
             return "lingering";
+        case Phase::handing_over:
+            return "handing over";
         case Phase::draining:
             return "draining";
         case Phase::stopped:
@@ -67,6 +73,7 @@
       reread_(std::move(reread)),
       log_(log),
       taken_out_(scratch_folder(), config.name),
+      succession_(io_, scratch_folder(), config.name, static_cast<Succession::Estate&>(*this)),
       stop_signals_(io_, SIGTERM, SIGINT),
       reload_signals_(io_, SIGHUP),
       timer_(io_),
@@ -85,19 +92,18 @@
     await_stop();
     await_reload();
     std::size_t usable = config_.sockets - kSpareSockets - (config_.control ? kControlLimits.sockets() : 0);
-    CoreLimits limits;
-    limits.connect_timeout = limits.probe_timeout = config_.connect_timeout;
-    limits.idle_limit = config_.idle_limit;
-    limits.links = std::size_t(double(usable) * kMemberShare);
-    limits.bytes = std::size_t(double(config_.memory_mb) * kItemShare * 1048576);
-    std::size_t rest_clients =
-        config_.rest.enabled ? std::min(config_.rest.connections, (usable - limits.links) / 2) : 0;
-    std::size_t clients = usable - limits.links - rest_clients;
+    limits_.connect_timeout = limits_.probe_timeout = config_.connect_timeout;
+    limits_.idle_limit = config_.idle_limit;
+    limits_.links = std::size_t(double(usable) * kMemberShare);
+    limits_.bytes = std::size_t(double(config_.memory_mb) * kItemShare * 1048576);
+    rest_clients_ =
+        config_.rest.enabled ? std::min(config_.rest.connections, (usable - limits_.links) / 2) : 0;
+    clients_ = usable - limits_.links - rest_clients_;
     if (config_.members == Wire::rest)
         backend_ = std::make_unique<adapters::RestBackend>(io_);
     else
         backend_ = std::make_unique<adapters::PgBackend>(io_);
-    core_ = std::make_unique<Core>(io_, clock_, config_.settings, config_.seed, limits, *backend_, log_);
+    core_ = std::make_unique<Core>(io_, clock_, config_.settings, config_.seed, limits_, *backend_, log_);
     catalog_ =
         std::make_unique<Catalog>(io_, config_.discovery, config_.zones, *core_, log_, Catalog::Timing{});
     core_->lay_over(taken_out_.uids());
@@ -107,10 +113,40 @@
         core_->on_follow_list([this] { catalog_->follow(); });
     else
         catalog_->follow();
+    if (config_.control) {
+        control_ = std::make_unique<adapters::ControlFront>(io_, *config_.control, kControlLimits,
+                                                            static_cast<Operations&>(*this), log_);
+        control_->start();
+        log_.log(Level::notice, "listening", "",
+                 {{"front", "control"},
+                  {"at", control_->local().address().to_string() + ":" +
+                             std::to_string(control_->local().port())}});
+    }
+    if (config_.rest.syslog) {
+        syslog_ = std::make_unique<adapters::SyslogSink>(io_, *config_.rest.syslog);
+        log_.also([this](const std::string& line) { syslog_->send(line); });
+    }
+    core_->on_commit([this](std::uint64_t session, Time commit) { succession_.commit(session, commit); });
+    started_ = clock_.now();
+    if (succession_.ask())
+        enter(Phase::inheriting);
+    else
+        open_fronts();
+}
+
+// An heir shows itself only with all that it needs: the listener, the sessions' positions, the list.
+bool Lifecycle::may_open_fronts() const {
+    return !succession_.inheriting() && (catalog_->told() || clock_.now() >= started_ + kListWait);
+}
+
+void Lifecycle::open_fronts() {
     auto unread =
-        std::size_t(double(config_.memory_mb) * kUnreadShare * 1048576) / (rest_clients > 0 ? 2 : 1);
-    auto pg_front = std::make_unique<adapters::PgFront>(io_, config_.listen, clients, config_.classes,
-                                                        adapters::PgOptions{}, *core_, log_);
+        std::size_t(double(config_.memory_mb) * kUnreadShare * 1048576) / (rest_clients_ > 0 ? 2 : 1);
+    auto where = [&](const transport::Endpoint& at, const char* front) {
+        return transport::ListenAt(at, true, inherited_[front].release());
+    };
+    auto pg_front = std::make_unique<adapters::PgFront>(io_, where(config_.listen, "pg"), clients_,
+                                                        config_.classes, adapters::PgOptions{}, *core_, log_);
     pg_front->limit_bytes(unread);
     pg_front->limit_served(std::size_t(double(config_.sockets) * kServedShare));
     fronts_.push_back(std::move(pg_front));
@@ -118,28 +154,21 @@
         adapters::RestOptions options;
         options.page_size = config_.rest.page_size;
         options.page_size_most = config_.rest.page_size_most;
-        auto front = std::make_unique<adapters::RestFront>(io_, config_.rest.listen, rest_clients,
-                                                           config_.classes, options, *core_, log_);
+        auto front = std::make_unique<adapters::RestFront>(
+            io_, where(config_.rest.listen, "rest"), rest_clients_, config_.classes, options, *core_, log_);
         front->limit_bytes(unread);
         fronts_.push_back(std::move(front));
     }
-    if (config_.rest.syslog) {
-        syslog_ = std::make_unique<adapters::SyslogSink>(io_, *config_.rest.syslog);
-        log_.also([this](const std::string& line) { syslog_->send(line); });
-    }
+    inherited_.clear();
     for (auto& front : fronts_) {
         front->start();
         log_.log(Level::notice, "listening", "", {{"front", front->name()}, {"at", front->address()}});
     }
     enter(Phase::serving);
-    if (config_.control) {
-        control_ = std::make_unique<adapters::ControlFront>(io_, *config_.control, kControlLimits,
-                                                            static_cast<Operations&>(*this), log_);
-        control_->start();
-        log_.log(Level::notice, "listening", "",
-                 {{"front", "control"},
-                  {"at", control_->local().address().to_string() + ":" +
-                             std::to_string(control_->local().port())}});
+    try {
+        succession_.announce();
+    } catch (const std::exception& error) {  // serving does not depend on it
+        log_.log(Level::warning, "succession", error.what(), {});
     }
 }
 
@@ -149,7 +178,9 @@
         io_.run_one();
         io_.poll();
         core_->run_batch();
+        if (phase_ == Phase::inheriting && may_open_fronts()) open_fronts();
         if (phase_ == Phase::reloading && catalog_->told()) enter(Phase::serving);
+        if (phase_ == Phase::handing_over) hand_over();
         if (phase_ == Phase::draining) check_drained();
         if (io_.stopped()) io_.restart();
     }
@@ -261,27 +292,81 @@
     return {true, name(phase_)};
 }
 
+// ---- an upgrade --------------------------------------------------------------------------------
+
+std::vector<std::pair<std::string, int>> Lifecycle::listening_sockets() {
+    std::vector<std::pair<std::string, int>> sockets;
+    for (auto& front : fronts_) sockets.emplace_back(front->name(), front->listening_socket());
+    return sockets;
+}
+
+void Lifecycle::inherit_socket(const std::string& front, transport::Descriptor socket) {
+    inherited_[front] = std::move(socket);
+}
+
+void Lifecycle::inherit_client(const std::string& name, ClientParcel parcel) {
+    for (auto& front : fronts_)
+        if (front->name() == name) return front->take_over(std::move(parcel));
+    transport::Descriptor nobody_takes_it(parcel.socket);
+}
+
+// Two processes count as one pooler: each has half of what it may hold while there are two.
+void Lifecycle::on_company() {
+    std::size_t parts = succession_.company() ? 2 : 1;
+    core_->limit(limits_.links / parts, limits_.bytes / parts);
+    log_.log(Level::notice, "succession",
+             parts == 2 ? "another process serves as well" : "this process serves alone", {});
+    if (parts == 1 && phase_ == Phase::handing_over) begin_drain();  // the heir is gone
+}
+
+// Only once told to stop: until then an heir may still be given up.
+void Lifecycle::on_heir_ready() {
+    if (phase_ != Phase::lingering) return;
+    timer_.cancel();
+    drain_until_ =
+        clock_.now() + std::max<Duration>(config_.longest_deadline, std::chrono::seconds(3)) + kDrainSlack;
+    for (auto& front : fronts_) front->stop_accepting();
+    enter(Phase::handing_over);
+}
+
+void Lifecycle::hand_over() {
+    for (auto& front : fronts_)
+        handed_ += front->hand_over([&](ClientParcel p) { succession_.give(front->name(), std::move(p)); });
+    check_drained();
+    if (phase_ == Phase::stopped)
+        log_.log(Level::notice, "succession", "clients' connections went to the other process",
+                 {{"count", std::to_string(handed_)}});
+}
+
 // ---- the end -----------------------------------------------------------------------------------
 
 void Lifecycle::on_stop() {
-    if (phase_ == Phase::lingering || phase_ == Phase::draining || phase_ == Phase::stopped) return;
+    if (phase_ == Phase::lingering || phase_ == Phase::handing_over || phase_ == Phase::draining ||
+        phase_ == Phase::stopped)
+        return;
+    if (phase_ == Phase::inheriting) return enter(Phase::stopped);
     enter(Phase::lingering);
+    if (succession_.heir_ready()) return on_heir_ready();
     timer_.expires_after(kLinger);
     timer_.async_wait([this](const boost::system::error_code& ec) {
-        if (ec) return;
-        drain_until_ = clock_.now() + std::max<Duration>(config_.longest_deadline, std::chrono::seconds(1)) +
-                       kDrainSlack;
-        for (auto& front : fronts_) {
-            front->stop_accepting();
-            front->close_idle();
-        }
-        enter(Phase::draining);
+        if (!ec && phase_ == Phase::lingering) begin_drain();
     });
 }
 
+void Lifecycle::begin_drain() {
+    drain_until_ =
+        clock_.now() + std::max<Duration>(config_.longest_deadline, std::chrono::seconds(1)) + kDrainSlack;
+    for (auto& front : fronts_) {
+        front->stop_accepting();
+        front->close_idle();
+    }
+    enter(Phase::draining);
+}
+
 void Lifecycle::check_drained() {
     bool empty = core_->idle();
     for (auto& front : fronts_) empty = empty && front->connections() == 0;
+    if (phase_ == Phase::handing_over) empty = empty && succession_.all_sent();
     if (empty || clock_.now() >= drain_until_) {
         enter(Phase::stopped);
         return;
--- a/src/program/lifecycle.hpp
+++ b/src/program/lifecycle.hpp
@@ -12,6 +12,7 @@
 #include "adapters/syslog_sink.hpp"
 #include "program/config.hpp"
 #include "program/log.hpp"
+#include "program/succession.hpp"
 #include "program/taken_out.hpp"
 #include "routing/catalog.hpp"
 #include "routing/core.hpp"
@@ -19,18 +20,20 @@
 namespace indigovane::program {
 
 enum class Phase {
-    starting,   // nothing listens yet
-    serving,    // all is as it should be
-    reloading,  // serving, with a new configuration whose discovery has not told its list yet
+    starting,    // nothing listens yet
+    inheriting,  // likewise: another process serves, and its listener, positions or the list are yet to come
+    serving,     // all is as it should be
+    reloading,   // serving, with a new configuration whose discovery has not told its list yet
     refusing,   // operators send clients away: serves all, but says no where it is asked whether to send some
     away,       // the same, and connections close between requests
     lingering,  // told to stop: still takes in and serves what comes, for a moment
-    draining,   // takes nothing new; finishes what it has
+    handing_over,  // told to stop in an upgrade: what clients are between requests go to the heir
+    draining,      // takes nothing new; finishes what it has
     stopped
 };
 const char* name(Phase phase);
 
-class Lifecycle : private adapters::Operations {
+class Lifecycle : private adapters::Operations, private Succession::Estate {
   public:
     // `reread` reads the configuration again, as it is by then; it throws ConfigError where it is bad.
     Lifecycle(const Config& config, std::function<Config()> reread, Log& log);
@@ -39,6 +42,7 @@
     Phase phase() const { return phase_; }
 
   private:
+    using Time = routing::Time;
     void start();
     void enter(Phase phase);
     void await_stop();
@@ -48,6 +52,20 @@
     void retune(const Config& fresh);
     void check_drained();
     void watch_taken_out();
+    void open_fronts();
+    bool may_open_fronts() const;
+    void hand_over();
+    void begin_drain();
+
+    std::vector<std::pair<std::string, int>> listening_sockets() override;
+    starlingpond::Tokens tokens() override { return core_->tokens(); }
+    std::map<std::string, Time> put_back() override { return core_->put_back(); }
+    void inherit_socket(const std::string& front, transport::Descriptor socket) override;
+    void inherit_tokens(starlingpond::Tokens tokens) override { core_->take_over(std::move(tokens)); }
+    void inherit_put_back(const std::string& uid, Time at) override { core_->take_over_put_back(uid, at); }
+    void inherit_client(const std::string& front, routing::ClientParcel parcel) override;
+    void on_company() override;
+    void on_heir_ready() override;
 
     Reply check() override;
     Reply set_down(const std::string& uid) override { return set_out(uid, true); }
@@ -68,6 +86,11 @@
     std::vector<std::unique_ptr<routing::Front>> fronts_;
     std::unique_ptr<adapters::ControlFront> control_;
     TakenOut taken_out_;
+    Succession succession_;
+    std::map<std::string, transport::Descriptor> inherited_;  // listening sockets, by front
+    routing::CoreLimits limits_;
+    std::size_t clients_ = 0, rest_clients_ = 0, handed_ = 0;
+    Time started_{};
     boost::asio::signal_set stop_signals_, reload_signals_;
     boost::asio::steady_timer timer_, taken_out_timer_;
     routing::Time drain_until_{};
--- a/src/routing/core.cpp
+++ b/src/routing/core.cpp
@@ -86,6 +86,18 @@
     wake();
 }
 
+void Core::take_over(Tokens tokens) {
+    inbox_.push_back(std::move(tokens));
+    wake();
+}
+
+void Core::limit(std::size_t links, std::size_t bytes) {
+    limits_.links = links;
+    limits_.bytes = bytes;
+    while (links_ > links && close_oldest_idle()) {
+    }
+}
+
 void Core::list(ListKind kind, const std::vector<MemberInfo>& infos) {
     List list{kind, {}};
     std::unordered_set<std::uint32_t> named;
@@ -196,6 +208,10 @@
                      {"took_ms", std::to_string((now - job.sent).count() / 1000)}});
         result.status = Status::miss;
     }
+    // Before the client knows of it, so that no read of its session can come to the other process sooner.
+    if (result.status == Status::ok && entry.item.verb == Item::Verb::write && entry.item.session &&
+        result.position_unix_us && commit_)
+        commit_(*entry.item.session, clock_.from_unix(*result.position_unix_us));
     if (result.status == Status::ok && entry.responder) {
         // The first answer goes to the client by itself and ends the request.
         Responder* responder = std::exchange(entry.responder, nullptr);
@@ -249,19 +265,20 @@
     return &it->second.item;
 }
 
+bool Core::close_oldest_idle() {
+    Member* oldest = nullptr;
+    for (auto& [id, m] : members_) {
+        auto since = m.pool->oldest_idle();
+        if (since && (!oldest || *since < *oldest->pool->oldest_idle())) oldest = &m;
+    }
+    return oldest && oldest->pool->close_oldest_idle();
+}
+
 bool Core::may_open() {
-    if (links_ >= limits_.links) {
-        // All descriptors for members are taken: the connection that has stood idle longest gives way.
-        Member* oldest = nullptr;
-        for (auto& [id, m] : members_) {
-            auto since = m.pool->oldest_idle();
-            if (since && (!oldest || *since < *oldest->pool->oldest_idle())) oldest = &m;
-        }
-        if (!oldest) {
-            starved_ = true;
-            return false;
-        }
-        oldest->pool->close_oldest_idle();
+    // All descriptors for members are taken: the connection that has stood idle longest gives way.
+    if (links_ >= limits_.links && !close_oldest_idle()) {
+        starved_ = true;
+        return false;
     }
     ++links_;
     return true;
--- a/src/routing/core.hpp
+++ b/src/routing/core.hpp
@@ -38,6 +38,17 @@
     // continues.
     void retune(const starlingpond::Settings& settings, std::vector<std::optional<ClassId>> continues,
                 Duration connect_timeout, Duration idle_limit);
+    // With another process of this pooler: what sessions have written, and who was put back when.
+    starlingpond::Tokens tokens() const { return brain_.tokens(); }
+    void take_over(starlingpond::Tokens tokens);
+    const std::map<std::string, Time>& put_back() const { return put_back_; }
+    void take_over_put_back(const std::string& uid, Time at) {
+        put_back_[uid] = std::max(put_back_[uid], at);
+    }
+    void on_commit(std::function<void(std::uint64_t session, Time commit)> hear) {
+        commit_ = std::move(hear);
+    }
+    void limit(std::size_t links, std::size_t bytes);  // from now on
     void list(starlingpond::ListKind kind, const std::vector<MemberInfo>& members);
     // These uids are out: whatever list names them, they drain. One that is put back counts as started now,
     // since its operators had it to themselves meanwhile.
@@ -99,6 +110,7 @@
     void end_job(MemberId id, const Job& job, Result result);
     starlingpond::ListEntry entry(MemberId id, Member& m);  // as the module is to see it
     void leave(Member& m);
+    bool close_oldest_idle();
     void sweep(Time now);
     void carry_out(const starlingpond::Action& action);
     void act(const starlingpond::Send& send);
@@ -127,6 +139,7 @@
     Logger& logger_;
     starlingpond::Brain brain_;
     std::function<void()> follow_;
+    std::function<void(std::uint64_t, Time)> commit_;
     std::vector<starlingpond::Event> inbox_;
     std::unordered_map<RequestId, Entry> entries_;
     std::unordered_set<std::string> open_ids_;  // as clients name them: owed an answer, or out
--- a/src/routing/interfaces.hpp
+++ b/src/routing/interfaces.hpp
@@ -45,6 +45,14 @@
     virtual std::shared_ptr<Link> open(const std::string& endpoint, Duration timeout, Link::Owner& owner) = 0;
 };
 
+// A client's connection on its way to another process of this program: all that there is to it between
+// requests.
+struct ClientParcel {
+    int socket = -1;
+    char state = 0;    // of the front's wire
+    std::string read;  // of what the client has sent, and nobody has answered
+};
+
 // Where clients come in.
 class Front {
   public:
@@ -55,6 +63,11 @@
     virtual void refuse_checks() = 0;   // says no where it is asked whether to send clients here
     virtual void welcome() = 0;         // undoes the last two
     virtual std::size_t connections() const = 0;
+    // For the process that takes over: it listens by the same socket, so that closing it here resets nothing.
+    virtual int listening_socket() = 0;
+    // Gives away the connections on which nothing is owed; says how many.
+    virtual std::size_t hand_over(const std::function<void(ClientParcel)>& to) = 0;
+    virtual void take_over(ClientParcel parcel) = 0;
     virtual std::string name() const = 0;     // of its wire
     virtual std::string address() const = 0;  // where it listens
 };
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -122,7 +122,7 @@
 Connection::Connection(asio::io_context& io)
     : io_(io), strand_(asio::make_strand(io)), socket_(strand_), timer_(strand_) {}
 
-void Connection::adopt(asio::ip::tcp::socket socket, Handler& handler) {
+void Connection::adopt(asio::ip::tcp::socket socket, Handler& handler, std::string_view read) {
     handler_ = &handler;
     state_ = State::open;
     error_code ec;
@@ -130,9 +130,26 @@
     socket_.assign(protocol, socket.release(), ec);
     socket_.set_option(asio::ip::tcp::no_delay(true), ec);
     socket_.non_blocking(true, ec);
+    if (!read.empty()) {
+        std::copy(read.begin(), read.end(), in_.prepare(read.size()).data);
+        in_.commit(read.size());
+        asio::post(strand_, [self = shared_from_this()] {
+            if (self->state_ == State::open && self->handler_) self->handler_->on_data(self->in_);
+        });
+    }
     asio::post(strand_, Reader(shared_from_this(), false));
 }
 
+int Connection::release() {
+    if (state_ != State::open || !all_written() || close_when_written_) return -1;
+    state_ = State::closed;
+    handler_ = nullptr;
+    error_code ec;
+    timer_.cancel(ec);
+    int fd = socket_.release(ec);
+    return ec ? -1 : fd;
+}
+
 void Connection::connect(const Endpoint& to, std::chrono::microseconds timeout, Handler& handler) {
     handler_ = &handler;
     peer_ = to;
--- a/src/transport/connection.hpp
+++ b/src/transport/connection.hpp
@@ -34,7 +34,12 @@
 
     explicit Connection(asio::io_context& io);
 
-    void adopt(asio::ip::tcp::socket socket, Handler& handler);
+    // `read`: bytes that came on it before, and were read by whoever had it.
+    void adopt(asio::ip::tcp::socket socket, Handler& handler, std::string_view read = {});
+    // Gives the socket away, as it is: the connection is over here and goes on elsewhere. -1: it can't, since
+    // something is unwritten yet.
+    int release();
+    std::string_view unread() const { return in_.view(); }
     void connect(const Endpoint& to, std::chrono::microseconds timeout, Handler& handler);
 
     // The timeout of connect() runs until this is called: a peer may accept and then say nothing.
--- a/src/transport/listener.cpp
+++ b/src/transport/listener.cpp
@@ -32,10 +32,18 @@
     }
 };
 
-Listener::Listener(asio::io_context& io, const Endpoint& at, Taker taker)
+Listener::Listener(asio::io_context& io, const ListenAt& where, Taker taker)
     : io_(io), strand_(asio::make_strand(io)), acceptor_(strand_), retry_(strand_), taker_(std::move(taker)) {
+    const Endpoint& at = where.at;
+    if (where.inherited >= 0) {
+        acceptor_.assign(at.protocol(), where.inherited);
+        acceptor_.non_blocking(true);
+        return;
+    }
     acceptor_.open(at.protocol());
     acceptor_.set_option(asio::socket_base::reuse_address(true));
+    if (where.shared)
+        acceptor_.set_option(asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>(true));
     acceptor_.bind(at);
     acceptor_.listen(asio::socket_base::max_listen_connections);
     acceptor_.non_blocking(true);
--- a/src/transport/listener.hpp
+++ b/src/transport/listener.hpp
@@ -8,18 +8,28 @@
 
 namespace indigovane::transport {
 
+// Where to listen: an address, or a socket that listens there already and was handed over.
+struct ListenAt {
+    ListenAt(const Endpoint& e) : at(e) {}
+    ListenAt(const Endpoint& e, bool s, int fd = -1) : at(e), shared(s), inherited(fd) {}
+    Endpoint at;
+    bool shared = false;  // other processes may listen there as well
+    int inherited = -1;   // the socket; the listener owns it from then on
+};
+
 class Listener {
   public:
     using Taker = std::function<void(asio::ip::tcp::socket)>;
 
     // Throws boost::system::system_error when the address can't be had.
-    Listener(asio::io_context& io, const Endpoint& at, Taker taker);
+    Listener(asio::io_context& io, const ListenAt& at, Taker taker);
 
     void start();
     void pause();  // what comes meanwhile waits in the kernel's queue
     void resume();
     void drain();  // takes in at once what the kernel has queued
     void close();
+    int socket() { return acceptor_.native_handle(); }
     Endpoint local() const { return acceptor_.local_endpoint(); }
 
   private:
--- a/tests/operation_test.cpp
+++ b/tests/operation_test.cpp
@@ -1,9 +1,4 @@
 // What operators' staff do day by day: calls at the control address, hosts taken out, clients sent away.
-#include <unistd.h>
-
-#include <cstdlib>
-#include <filesystem>
-
 #include "adapters/control_front.hpp"
 #include "program/config.hpp"
 #include "program/taken_out.hpp"
@@ -82,15 +77,6 @@
     CHECK(rig.calls.calls.empty());
 }
 
-struct Folder {
-    Folder() {
-        std::string name = (std::filesystem::temp_directory_path() / "indigovane-XXXXXX").string();
-        path = ::mkdtemp(name.data());
-    }
-    ~Folder() { std::filesystem::remove_all(path); }
-    std::string path;
-};
-
 TEST_CASE("hosts taken out: stored before the yes, seen by the other process, and after a start") {
     Folder folder;
     program::TakenOut one(folder.path, "n1"), two(folder.path, "n1"), other(folder.path, "n2");
--- a/tests/program_test.sh
+++ b/tests/program_test.sh
@@ -92,6 +92,25 @@
 said 'reload.*classes="2"'
 said 'take effect at the next start'
 said 'phase.*reloading'
+# A second process beside it: it inherits the listener, and the first ends once its clients have gone over.
+"$program" serve --config "$work/config.json" --rest "$work/rest.json" > "$work/log2" 2>&1 &
+heir=$!
+for _ in $(seq 400); do grep -q "phase.*serving" "$work/log2" && break; sleep 0.05; done
+grep -q "phase.*inheriting" "$work/log2" || fail "the second process found no first one"
+said 'another process serves as well'
+exec 3<>"/dev/tcp/127.0.0.1/$port"
+printf 'GET /health HTTP/1.1\r\n' >&3
+sleep 0.1
+kill -TERM $pid
+wait $pid
+[ $? = 0 ] || fail "the first process ended with an error"
+printf 'Host: h\r\nConnection: close\r\n\r\n' >&3
+grep -q '"serving"' <&3 || fail "a client's connection did not go on at the second process"
+exec 3>&-
+grep -q 'phase.*handing over' "$work/log" || fail "the first process handed nothing over"
+pid=$heir
+mv "$work/log2" "$work/log"
+call check "+OK serving"
 kill -TERM $pid
 wait $pid
 status=$?
--- a/tests/support/harness.hpp
+++ b/tests/support/harness.hpp
@@ -3,8 +3,11 @@
 #pragma once
 
 #include <doctest/doctest.h>
+#include <unistd.h>
 
 #include <boost/asio/io_context.hpp>
+#include <cstdlib>
+#include <filesystem>
 #include <functional>
 #include <map>
 #include <memory>
@@ -334,6 +337,16 @@
                               {"scan-write", routing::ClassId{2}, 4s, true, false, true}});
 }
 
+// A folder of its own, as $TMPDIR is.
+struct Folder {
+    Folder() {
+        std::string name = (std::filesystem::temp_directory_path() / "indigovane-XXXXXX").string();
+        path = ::mkdtemp(name.data());
+    }
+    ~Folder() { std::filesystem::remove_all(path); }
+    std::string path;
+};
+
 // Random steps with a fixed seed: the same on every machine.
 class Dice {
   public:
--- /dev/null
+++ b/tests/upgrade_test.cpp
@@ -0,0 +1,278 @@
+// Two processes of one pooler, in one loop: channels between them, what the heir is given, and what becomes
+// of clients.
+#include <sys/socket.h>
+
+#include "program/succession.hpp"
+#include "support/deployment.hpp"
+
+namespace indigovane::testing {
+namespace {
+
+using program::Succession;
+using transport::Channel;
+using transport::Descriptor;
+
+struct End : Channel::Handler {
+    void on_message(Channel&, std::string_view message, Descriptor with) override {
+        got.emplace_back(message);
+        if (!with || !reads) return;
+        char byte = 0;
+        CHECK(::read(with.get(), &byte, 1) == 1);
+        got.back() += byte;
+    }
+    void on_closed(Channel&) override { closed = true; }
+    std::vector<std::string> got;
+    bool closed = false, reads = true;  // what comes along is a pipe
+};
+
+// What a channel's model keeps is the messages under way, and whether the other side is there.
+TEST_CASE("a channel brings each message whole, in order, with its descriptor") {
+    Dice dice(4);
+    for (int round = 0; round < 20; ++round) {
+        Loop loop;
+        Folder folder;
+        End ends[2];
+        std::shared_ptr<Channel> sides[2];
+        CHECK(!Channel::connect(loop.io, folder.path, "peer", ends[0]));
+        transport::ChannelListener replaced(loop.io, folder.path, "peer", [](Descriptor) { CHECK(false); });
+        transport::ChannelListener listener(loop.io, folder.path, "peer", [&](Descriptor socket) {
+            sides[1] = std::make_shared<Channel>(loop.io, std::move(socket), ends[1]);
+            sides[1]->start();
+        });
+        sides[0] = Channel::connect(loop.io, folder.path, "peer", ends[0]);
+        REQUIRE(sides[0]);
+        sides[0]->start();
+        REQUIRE(loop.until([&] { return sides[1] != nullptr; }));
+        std::vector<std::string> sent[2];
+        for (int step = 0; step < 60; ++step) {
+            std::size_t from = dice.below(2);
+            std::string message(1 + dice.below(dice.below(4) ? 50 : Channel::kMessageMost - 1),
+                                char('a' + step % 26));
+            Descriptor with;
+            sent[from].push_back(message);
+            if (dice.below(2)) {
+                int pipe[2];
+                REQUIRE(::pipe(pipe) == 0);
+                Descriptor writer(pipe[1]);
+                with = Descriptor(pipe[0]);
+                CHECK(::write(writer.get(), "!", 1) == 1);
+                sent[from].back() += '!';
+            }
+            sides[from]->send(message, std::move(with));
+            if (dice.below(10) == 0) loop.settle();
+        }
+        REQUIRE(loop.until(
+            [&] { return ends[1].got.size() == sent[0].size() && ends[0].got.size() == sent[1].size(); }));
+        CHECK(ends[1].got == sent[0]);
+        CHECK(ends[0].got == sent[1]);
+        CHECK(sides[0]->all_sent());
+        std::size_t gone = dice.below(2);
+        sides[gone]->close();
+        REQUIRE(loop.until([&] { return ends[1 - gone].closed; }));
+        CHECK(!ends[gone].closed);
+        sides[1 - gone]->send("to nobody");
+        loop.settle();
+    }
+}
+
+using PgDeployment = Deployment<adapters::PgBackend, PgHost>;
+
+// One of the two processes, before the same hosts.
+struct Process : Succession::Estate {
+    Process(PgDeployment& deployment, const std::string& folder, std::chrono::milliseconds patience = 20s)
+        : d(deployment),
+          core(d.loop.io, d.clock, settings(), 9, PgDeployment::limits(64), d.backend, d.logger),
+          succession(d.loop.io, folder, "n1", *this, patience) {
+        core.list(ListKind::full, {d.member(0, MemberState::ready), d.member(1, MemberState::ready),
+                                   d.member(2, MemberState::ready)});
+        core.on_commit([this](std::uint64_t session, routing::Time at) { succession.commit(session, at); });
+    }
+    void serve() {
+        front = std::make_unique<adapters::PgFront>(
+            d.loop.io, transport::ListenAt(loopback(), true, inherited.release()), 64, d.known,
+            adapters::PgOptions{}, core, d.logger);
+        front->start();
+        succession.announce();
+    }
+    std::vector<std::pair<std::string, int>> listening_sockets() override {
+        return {{"pg", front->listening_socket()}};
+    }
+    starlingpond::Tokens tokens() override { return core.tokens(); }
+    std::map<std::string, routing::Time> put_back() override { return core.put_back(); }
+    void inherit_socket(const std::string& name, Descriptor socket) override {
+        CHECK(name == "pg");
+        inherited = std::move(socket);
+    }
+    void inherit_tokens(starlingpond::Tokens tokens) override { core.take_over(std::move(tokens)); }
+    void inherit_put_back(const std::string& uid, routing::Time at) override {
+        core.take_over_put_back(uid, at);
+    }
+    void inherit_client(const std::string&, routing::ClientParcel p) override {
+        front->take_over(std::move(p));
+    }
+    void on_company() override {}
+    void on_heir_ready() override { ++ready; }
+    bool knows(const std::string& session) {
+        for (auto& [key, at] : core.tokens().commits)
+            if (std::uint64_t(key) == adapters::session_number(session)) return true;
+        return false;
+    }
+
+    PgDeployment& d;
+    routing::Core core;
+    std::unique_ptr<adapters::PgFront> front;
+    Descriptor inherited;
+    int ready = 0;
+    Succession succession;
+};
+
+std::string write_to(const std::string& session) {
+    static int id = 0;
+    return pg::Writer()
+        .query("/* id=w" + std::to_string(++id) +
+               ",c=scan-write,t=a,d=3000,k=1,cluster=3 */ INSERT INTO kv (name, content) VALUES ('" +
+               session + "', '\\x31') RETURNING content")
+        .take();
+}
+std::string read_of(const std::string& session) {
+    static int id = 0;
+    return pg::Writer()
+        .query("/* id=r" + std::to_string(++id) +
+               ",c=own-order,t=a,d=3000,cluster=3 */ SELECT content FROM kv WHERE name = '" + session + "'")
+        .take();
+}
+
+TEST_CASE("the heir has the listener, the positions and the clients; what is under way goes on") {
+    Dice dice(8);
+    for (int round = 0; round < 12; ++round) {
+        PgDeployment d;
+        for (Host& host : d.hosts) host.rows["a1"] = host.rows["a2"] = "1";
+        Folder folder;
+        Process elder(d, folder.path), heir(d, folder.path);
+        d.loop.batch = [&] { elder.core.run_batch(), heir.core.run_batch(); };
+        CHECK(!elder.succession.ask());  // there is nobody
+        elder.serve();
+        Client client(d.loop, elder.front->local());
+        client.send(pg::Writer().startup("u", "d").take());
+        client.reply();
+        client.send(write_to("a1"));
+        CHECK(client.reply() == "TDCZ");
+        elder.core.lay_over({"m1"});
+        elder.core.lay_over({});
+        REQUIRE(heir.succession.ask());
+        REQUIRE(d.loop.until([&] { return !heir.succession.inheriting(); }));
+        CHECK(heir.inherited);
+        REQUIRE(d.loop.until([&] { return heir.knows("a1"); }));
+        CHECK(heir.core.put_back() == elder.core.put_back());
+        CHECK(!elder.succession.heir_ready());
+        heir.serve();
+        REQUIRE(d.loop.until([&] { return elder.ready == 1; }));
+        CHECK(heir.front->local() == elder.front->local());
+        CHECK(heir.succession.company());
+        client.send(write_to("a2"));  // as they come
+        CHECK(client.reply() == "TDCZ");
+        REQUIRE(d.loop.until([&] { return heir.knows("a2"); }));
+        // A client in any state: not started, idle, halfway in a message, owed an answer.
+        std::string startup = pg::Writer().startup("u", "d").take(), rest;
+        Client late(d.loop, elder.front->local());
+        std::size_t cut = dice.below(startup.size());
+        late.send(startup.substr(0, cut));
+        std::string next = read_of("a2");
+        std::size_t half = dice.below(next.size());
+        bool asked = dice.below(2);
+        if (asked) {
+            for (Host& host : d.hosts) host.silent = true;
+            client.send(next);
+            REQUIRE(d.loop.until([&] { return elder.core.requests() + heir.core.requests() == 1; }));
+        } else {
+            client.send(next.substr(0, half));
+        }
+        d.loop.settle();
+        elder.front->stop_accepting();
+        auto hand = [&] {
+            return elder.front->hand_over([&](auto p) { elder.succession.give("pg", std::move(p)); });
+        };
+        hand();
+        d.loop.settle();
+        if (asked) {
+            CHECK(elder.front->connections() == 1);  // it stays until it has its answer
+            for (Host& host : d.hosts) host.silent = false;
+            for (auto& server : d.servers) server->drop_all();
+        } else {
+            CHECK(elder.front->connections() == 0);
+            client.send(next.substr(half));
+        }
+        CHECK(client.reply() == "TDCZ");
+        CHECK(client.value == "1");
+        hand();
+        CHECK(elder.front->connections() == 0);
+        REQUIRE(d.loop.until([&] { return elder.succession.all_sent(); }));
+        late.send(startup.substr(cut));
+        CHECK(late.reply() == "RZ");
+        client.send(write_to("a3"));  // on the same connection, at the heir; the elder hears of it
+        CHECK(client.reply() == "TDCZ");
+        REQUIRE(d.loop.until([&] { return elder.knows("a3"); }));
+        Client fresh(d.loop, heir.front->local());
+        fresh.send(pg::Writer().startup("u", "d").take());
+        CHECK(fresh.reply() == "RZ");
+        // What was written through the elder binds reads at the heir: a lagging replica won't do.
+        for (int i : {1, 2}) d.hosts[i].lag_ms = 60000, d.hosts[i].checks = true;
+        int before = d.hosts[0].queries;
+        fresh.send(read_of("a1"));
+        CHECK(fresh.reply() == "TDCZ");
+        CHECK(d.hosts[0].queries == before + 1);
+        CHECK(heir.front->connections() == 3);
+    }
+}
+
+TEST_CASE("an elder that is absent, silent, dead or half done: the heir goes on alone") {
+    PgDeployment d;
+    Folder folder;
+    Process alone(d, "");
+    CHECK(!alone.succession.ask());
+    alone.serve();
+    CHECK(!alone.succession.company());
+    for (bool answers : {false, true}) {
+        std::vector<Descriptor> taken;  // an elder that says nothing, or not all
+        transport::ChannelListener listener(d.loop.io, folder.path, "n1.peer", [&](Descriptor socket) {
+            taken.push_back(std::move(socket));
+            if (answers) CHECK(::send(taken.back().get(), "F12345678", 9, 0) == 9);
+            if (answers) taken.clear();
+        });
+        Process heir(d, folder.path, 5ms);
+        REQUIRE(heir.succession.ask());
+        REQUIRE(d.loop.until([&] { return !heir.succession.inheriting(); }));
+        CHECK(!heir.inherited);
+        CHECK(!heir.succession.company());
+        heir.serve();
+        Client client(d.loop, heir.front->local());
+        client.send(pg::Writer().startup("u", "d").take());
+        CHECK(client.reply() == "RZ");
+    }
+}
+
+TEST_CASE("an heir that dies, or speaks another version, leaves the elder as it was") {
+    PgDeployment d;
+    Folder folder;
+    Process elder(d, folder.path);
+    elder.serve();
+    for (std::string hello : {std::string("H\1\0\0\0", 5), std::string("H\7\0\0\0", 5), std::string("R")}) {
+        End end;
+        end.reads = false;
+        auto heir = Channel::connect(d.loop.io, folder.path, "n1.peer", end);
+        REQUIRE(heir);
+        heir->start();
+        heir->send(hello);
+        d.loop.settle();
+        CHECK(elder.succession.company() == (hello[1] == '\1'));
+        CHECK(!elder.succession.heir_ready());
+        heir->close();
+        REQUIRE(d.loop.until([&] { return !elder.succession.company(); }));
+    }
+    Client client(d.loop, elder.front->local());
+    client.send(pg::Writer().startup("u", "d").take());
+    CHECK(client.reply() == "RZ");
+}
+
+}  // namespace
+}  // namespace indigovane::testing
