--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -30,7 +30,9 @@
 
 // Probing in trouble.
 constexpr Duration kSeekPrimary = milliseconds(100);  // probe a group that has no usable primary: reports are
-                                                      // refreshed about this often, faster learns nothing
+                                                      // refreshed about this often, faster learns nothing,
+constexpr double kSeekProbes = 2.5;                   // but no more than so many a read, and at least each
+constexpr Duration kSeekMost = seconds(1);            // second
 constexpr Duration kFirstHold = milliseconds(300);    // longest wait for a fresh router's first probes
 constexpr int kProbeFailures = 2;               // time-outs in a row before a probe counts against a member
 constexpr Duration kUpkeep = milliseconds(20);  // probes due, silence and give-ups are looked at this often
@@ -979,12 +981,14 @@
         }
         bool seeking = !g.held.empty() && (!p || !p->listed || p->trouble != Trouble::none);
         bool paced = steady(g);
+        Duration seek = std::clamp(from_ms(ms(kUseMemory) * double(g.members.size()) / (kSeekProbes * reads(g) + 0.1)),
+                                   kSeekPrimary, kSeekMost);
         for (Member* m : g.members) {
             if (!m->listed) continue;
             Duration every = m == p ? kProbeAtLeast : probe_every;
             bool due = paced && (now >= m->told_at + every || now >= m->probe_sent + kProbeAtLeast);
             bool trial = m->trouble == Trouble::unreachable && now >= m->trial_at;
-            if (due || trial || (seeking && now >= m->probe_sent + kSeekPrimary)) {
+            if (due || trial || (seeking && now >= m->probe_sent + seek)) {
                 if (trial) m->backoff = std::min(m->backoff * 2, kTrialMost);
                 if (trial) m->trial_at = now + m->backoff;
                 probe(*m);
--- a/src/program/lifecycle.cpp
+++ b/src/program/lifecycle.cpp
@@ -104,12 +104,13 @@
     else
         backend_ = std::make_unique<adapters::PgBackend>(io_);
     core_ = std::make_unique<Core>(io_, clock_, config_.settings, config_.seed, limits_, *backend_, log_);
-    catalog_ =
-        std::make_unique<Catalog>(io_, config_.discovery, config_.zones, *core_, log_, Catalog::Timing{});
+    bool asked = config_.settings.list_mode == starlingpond::ListMode::asked;
+    catalog_ = std::make_unique<Catalog>(io_, config_.discovery, config_.zones, *core_, log_,
+                                         asked ? Catalog::shared() : Catalog::Timing{}, config_.seed);
     core_->lay_over(taken_out_.uids());
     catalog_->seed(config_.known);
     watch_taken_out();
-    if (config_.settings.list_mode == starlingpond::ListMode::asked)
+    if (asked)
         core_->on_follow_list([this] { catalog_->follow(); });
     else
         catalog_->follow();
--- a/src/routing/catalog.cpp
+++ b/src/routing/catalog.cpp
@@ -42,7 +42,7 @@
 }
 
 Catalog::Catalog(boost::asio::io_context& io, const transport::Endpoint& at, std::vector<std::string> zones,
-                 Core& core, Logger& logger, Timing timing)
+                 Core& core, Logger& logger, Timing timing, std::uint64_t seed)
     : io_(io),
       at_(at),
       zones_(std::move(zones)),
@@ -51,7 +51,7 @@
       timing_(timing),
       parser_({.head = 16384, .body = 4 << 20}),
       timer_(io),
-      backoff_(timing.retry) {}
+      random_(std::minstd_rand::result_type(seed ^ seed >> 32)) {}
 
 Catalog::~Catalog() {
     if (connection_) connection_->close();
@@ -71,8 +71,8 @@
     at_ = at;
     disconnect();
     revision_.reset();
-    told_ = false;
-    backoff_ = timing_.retry;
+    told_ = watching_ = false;
+    backoff_ = {};
     if (following_) call();
 }
 
@@ -109,14 +109,21 @@
     connection_->write(protocol::http::write_request(
         "GET", target, at_.address().to_string() + ":" + std::to_string(at_.port()), {}));
     // A silent agent keeps its connection open: only the clock tells.
-    set_timer(revision_ ? timing_.hold + timing_.slack : timing_.slack, &Catalog::no_answer);
+    set_timer(!revision_ ? timing_.whole : timing_.hold + (watching_ ? timing_.slack : timing_.whole),
+              &Catalog::no_answer);
 }
 
 void Catalog::lost(const char* why) {
     logger_.log(Level::warning, "discovery", "the list of members can't be followed now", {{"why", why}});
     disconnect();
-    set_timer(backoff_, &Catalog::call);
-    backoff_ = std::min(backoff_ * 2, timing_.retry_most);
+    // Guards a discovery that is short of room against all poolers that ask again at once, and in step.
+    watching_ = false;
+    auto wait = timing_.retry;
+    if (backoff_.count() > 0)
+        wait = backoff_ / 2 +
+               std::chrono::milliseconds(std::int64_t(random_() % std::uint64_t(backoff_.count() + 1)));
+    backoff_ = backoff_.count() == 0 ? timing_.again : std::min(backoff_ * 2, timing_.retry_most);
+    set_timer(wait, &Catalog::call);
 }
 
 void Catalog::on_connected() {
@@ -155,8 +162,8 @@
         if (list.all || !list.members.empty() || first)
             core_.list(list.all || first ? ListKind::full : ListKind::changes, list.members);
         revision_ = list.revision;
-        told_ = true;
-        backoff_ = timing_.retry;
+        told_ = watching_ = true;
+        backoff_ = {};
     } catch (const std::exception& error) {
         revision_.reset();
         return lost(error.what());
--- a/src/routing/catalog.hpp
+++ b/src/routing/catalog.hpp
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <nlohmann/json_fwd.hpp>
+#include <random>
 
 #include "protocol/http.hpp"
 #include "routing/core.hpp"
@@ -25,12 +26,22 @@
         // A call is held so long. Short, since a silent connection shows only by the lack of an answer.
         std::chrono::milliseconds hold{2000};
         std::chrono::milliseconds slack{1000};  // for the answer after that
-        std::chrono::milliseconds retry{40};    // under the 200 ms in which a watch goes on
+        std::chrono::milliseconds whole{1000};  // for the whole list, or a watch that begins
+        std::chrono::milliseconds retry{40};    // the first, under the 200 ms in which a watch goes on
+        std::chrono::milliseconds again{80};    // the next; doubling, with jitter
         std::chrono::milliseconds retry_most{160};
         std::chrono::milliseconds connect{500};
     };
+    // Where all poolers ask one discovery, which has only so much room.
+    static Timing shared() {
+        Timing t;
+        t.whole = t.slack = std::chrono::seconds(8);
+        t.again = std::chrono::milliseconds(400);
+        t.retry_most = std::chrono::seconds(5);
+        return t;
+    }
     Catalog(boost::asio::io_context& io, const transport::Endpoint& at, std::vector<std::string> zones,
-            Core& core, Logger& logger, Timing timing);
+            Core& core, Logger& logger, Timing timing, std::uint64_t seed = 0);
     ~Catalog();
 
     void seed(const MemberList& known);  // the list as last held; it may be old
@@ -62,7 +73,9 @@
     protocol::http::Parser parser_;
     boost::asio::steady_timer timer_;
     std::uint64_t timers_ = 0;  // set so far: a timer that has rung may be out of date when it is heard
-    std::chrono::milliseconds backoff_;
+    std::chrono::milliseconds backoff_{};  // none: the next retry is the first
+    std::minstd_rand random_;
+    bool watching_ = false;                 // the last call was answered: the next goes on from it
     std::optional<std::int64_t> revision_;  // none: the whole list comes next
     bool following_ = false, called_ = false, told_ = false;
 };
