--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -94,7 +94,7 @@
 // Lists and sessions.
 constexpr Duration kListBackoff = milliseconds(400);  // after a failed call, doubling, with jitter
 constexpr Duration kListBackoffMost = seconds(4);
-constexpr Duration kListSpread = milliseconds(10);  // first calls of a fleet that starts at once, a proxy
+constexpr Duration kListSpread = milliseconds(60);  // first calls of a fleet that starts at once, a proxy
 constexpr double kListLeast = 10;                   // and for so many at least
 constexpr std::size_t kSessionsKept = 50000;        // remembered tokens; older ones raise the floor for all
 constexpr Duration kTokenKept = seconds(60);        // likewise: no replica in use is so far behind
--- a/src/program/lifecycle.cpp
+++ b/src/program/lifecycle.cpp
@@ -105,8 +105,9 @@
         backend_ = std::make_unique<adapters::PgBackend>(io_);
     core_ = std::make_unique<Core>(io_, clock_, config_.settings, config_.seed, limits_, *backend_, log_);
     bool asked = config_.settings.list_mode == starlingpond::ListMode::asked;
-    catalog_ = std::make_unique<Catalog>(io_, config_.discovery, config_.zones, *core_, log_,
-                                         asked ? Catalog::shared() : Catalog::Timing{}, config_.seed);
+    catalog_ = std::make_unique<Catalog>(
+        io_, config_.discovery, config_.zones, *core_, log_,
+        asked ? Catalog::shared(config_.settings.fleet_size.value_or(1)) : Catalog::Timing{}, config_.seed);
     core_->lay_over(taken_out_.uids());
     catalog_->seed(config_.known);
     watch_taken_out();
--- a/src/routing/catalog.cpp
+++ b/src/routing/catalog.cpp
@@ -59,6 +59,7 @@
 
 void Catalog::seed(const MemberList& known) {
     core_.list(ListKind::cached, known.members);
+    if (timing_.from_known && known.all) revision_ = known.revision;
 }
 
 void Catalog::follow() {
@@ -115,14 +116,16 @@
 
 void Catalog::lost(const char* why) {
     logger_.log(Level::warning, "discovery", "the list of members can't be followed now", {{"why", why}});
+    bool watched = std::exchange(watching_, false);
     disconnect();
     // Guards a discovery that is short of room against all poolers that ask again at once, and in step.
-    watching_ = false;
     auto wait = timing_.retry;
-    if (backoff_.count() > 0)
+    if (!watched) {
+        if (backoff_.count() == 0) backoff_ = timing_.again;
         wait = backoff_ / 2 +
                std::chrono::milliseconds(std::int64_t(random_() % std::uint64_t(backoff_.count() + 1)));
-    backoff_ = backoff_.count() == 0 ? timing_.again : std::min(backoff_ * 2, timing_.retry_most);
+        backoff_ = std::min(backoff_ * 2, timing_.retry_most);
+    }
     set_timer(wait, &Catalog::call);
 }
 
--- a/src/routing/catalog.hpp
+++ b/src/routing/catalog.hpp
@@ -31,13 +31,18 @@
         std::chrono::milliseconds again{80};    // the next; doubling, with jitter
         std::chrono::milliseconds retry_most{160};
         std::chrono::milliseconds connect{500};
+        bool from_known =
+            false;  // the first call asks for what is newer than the list held, not for all of it
     };
     // Where all poolers ask one discovery, which has only so much room.
-    static Timing shared() {
+    static Timing shared(std::size_t poolers) {
         Timing t;
+        t.hold = std::chrono::seconds(10);  // each call takes room
         t.whole = t.slack = std::chrono::seconds(8);
-        t.again = std::chrono::milliseconds(400);
-        t.retry_most = std::chrono::seconds(5);
+        t.from_known = true;
+        // Of a fleet that starts at once each asks again at a moment of its own, some 60 ms apart.
+        t.again = std::max(std::chrono::milliseconds(400), std::chrono::milliseconds(60 * poolers));
+        t.retry_most = std::max<std::chrono::milliseconds>(std::chrono::seconds(5), t.again * 2);
         return t;
     }
     Catalog(boost::asio::io_context& io, const transport::Endpoint& at, std::vector<std::string> zones,
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -64,6 +64,42 @@
     CHECK(catalog.told());
 }
 
+TEST_CASE(
+    "a discovery that all poolers share is asked for what is new, and ever less often where it refuses") {
+    auto shared = routing::Catalog::shared(48);
+    CHECK(shared.again >= 48 * 60ms);
+    CHECK(shared.retry_most > shared.again);
+    CHECK(shared.from_known);
+    for (std::uint64_t seed : {1, 2}) {
+        Loop loop;
+        NullLogger logger;
+        routing::Clock clock;
+        Host host;
+        Agent agent(loop, host);
+        adapters::PgBackend backend(loop.io);
+        routing::Core core(loop.io, clock, settings(), 1, {}, backend, logger);
+        routing::Catalog::Timing timing = shared;
+        timing.again = 40ms, timing.retry = 0ms, timing.retry_most = 100h;
+        routing::Catalog catalog(loop.io, *transport::read_endpoint(agent.address()), {"a"}, core, logger,
+                                 timing, seed);
+        loop.batch = [&] { core.run_batch(); };
+        catalog.seed({41, true, {}});
+        std::string refusal = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+        agent.replies = {Agent::reply(R"({"rev":43,"all":false,"targets":[]})"), refusal, refusal, refusal,
+                         refusal};
+        auto began = std::chrono::steady_clock::now();
+        catalog.follow();
+        REQUIRE(loop.until([&] { return host.asked.size() >= 3; }));
+        CHECK(host.asked[0] == "/catalog/members?from=41&hold_ms=10000");  // not the whole list
+        CHECK(host.asked[2] ==
+              "/catalog/members?from=43&hold_ms=10000");  // a watch is taken up again at once
+        CHECK(catalog.told());
+        REQUIRE(loop.until([&] { return host.asked.size() >= 5; }));
+        // Two waits of 40 and 80 ms, each half as long at least: a machine's slowness only adds to that.
+        CHECK(std::chrono::steady_clock::now() - began >= 60ms);
+    }
+}
+
 // What stands for the catalog's connection: where it goes, and whether that address has told its list.
 TEST_CASE("a new address of discovery is asked for its whole list at once, whatever the watch is doing") {
     Dice dice(31);
