--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -29,10 +29,9 @@
 constexpr Duration kProbeAtLeast = seconds(1);      // ...and at least this often
 
 // Probing in trouble.
-constexpr Duration kSeekPrimary = milliseconds(100);  // probe a group that has no usable primary: reports are
-                                                      // refreshed about this often, faster learns nothing,
-constexpr double kSeekProbes = 2.5;                   // but no more than so many a read, and at least each
-constexpr Duration kSeekMost = seconds(1);            // second
+constexpr Duration kSeekPrimary = milliseconds(100);  // probe a group with no usable primary: reports are
+constexpr double kSeekProbes = 2.5;  // hardly newer sooner; no more than so many a read,
+constexpr Duration kSeekMost = seconds(1);  // but each second at least
 constexpr Duration kFirstHold = milliseconds(300);    // longest wait for a fresh router's first probes
 constexpr int kProbeFailures = 2;               // time-outs in a row before a probe counts against a member
 constexpr Duration kUpkeep = milliseconds(20);  // probes due, silence and give-ups are looked at this often
@@ -80,8 +79,8 @@
                                      // come again, and has cost it more than it could still earn
 constexpr double kTail = 2.5;         // answer times that a held read keeps in hand: most answers take less
 constexpr double kFirstGuess = 0.25;  // usual answer time before any answer, as a share of the aim
-constexpr int kRepeats =
-    2;  // further attempts after ones that may have run: failures never multiply the load
+constexpr std::size_t kFirstProbes = 3;  // of a group at first use, where proxies are many
+constexpr int kRepeats = 2;  // further attempts after ones that may have run: failures multiply no load
 constexpr std::size_t kPatiencesKept = 16;  // a patience that came this often among the last so many
 constexpr Duration kPatienceJitter = milliseconds(15);  // the way from client to proxy takes a part of it
 constexpr int kUsualPatience = 6;                       // requests of a class is the usual one
@@ -385,7 +384,15 @@
     void use(Group& g, const Live& r) {
         if (!g.first_use) {
             g.first_use = now;
-            for (Member* m : g.members) probe(*m);
+            // Exception: where proxies are many, each sees little of a group: it asks the listed primary and
+            // a few others by chance. The rest is tried when those don't do.
+            std::vector<Member*> some = g.members;
+            if (fleet() > kFewProxies) {
+                std::shuffle(some.begin(), some.end(), random);
+                std::partition(some.begin(), some.end(), [](Member* m) { return !!m->primary_as_of; });
+                some.resize(std::min(some.size(), kFirstProbes));
+            }
+            for (Member* m : some) probe(*m);
         }
         if (needed(r)) {
             g.reads = reads(g) + 1;
@@ -439,11 +446,9 @@
     void on(const Begun& b) {
         auto mit = members.find(b.member);
         auto it = live.find(b.id);
-        if (mit == members.end() || it == live.end()) return;
+        if (mit == members.end() || it == live.end() || std::exchange(it->second.begun, true)) return;
         mit->second.out = std::max(0, mit->second.out - 1);
-        it->second.begun = true;
-        Outcome o{b.id, b.attempt, b.member, Status::ok, b.latency, false, {}, {}, {}};
-        judge(mit->second, o, it->second.cls.get());
+        judge(mit->second, {b.id, 0, b.member, Status::ok, b.latency, {}, {}, {}, {}}, it->second.cls.get());
         pump(groups[mit->second.group]);
     }
 
@@ -500,8 +505,8 @@
         auto before = std::exchange(classes, {});
         apply(t.settings);
         for (std::size_t i = 0; i < std::min(classes.size(), t.continues.size()); ++i) {
-            if (!t.continues[i] || std::size_t(*t.continues[i]) >= before.size()) continue;
-            classes[i]->usual_ms = before[std::size_t(*t.continues[i])]->usual_ms;
+            if (t.continues[i] && std::size_t(*t.continues[i]) < before.size())
+                classes[i]->usual_ms = before[std::size_t(*t.continues[i])]->usual_ms;
         }
         for (auto& [id, g] : groups) pump(g);
     }
@@ -691,8 +696,7 @@
     // Writes, fresh reads, and session reads that no replica can serve. Without a usable primary they wait.
     Choice choose_primary(const Group& g, Live& r) {
         Member* p = primary(g);
-        if (!p || !usable(*p, r)) return {Verdict::wait};
-        if (!room(*p, g, r, 1)) return {Verdict::wait};
+        if (!p || !usable(*p, r) || !room(*p, g, r, 1)) return {Verdict::wait};
         return {Verdict::member, p};
     }
 
@@ -981,7 +985,7 @@
         }
         bool seeking = !g.held.empty() && (!p || !p->listed || p->trouble != Trouble::none);
         bool paced = steady(g);
-        Duration seek = std::clamp(from_ms(ms(kUseMemory) * double(g.members.size()) / (kSeekProbes * reads(g) + 0.1)),
+        Duration seek = std::clamp(kUseMemory * int(g.members.size()) / int(kSeekProbes * reads(g) + 1),
                                    kSeekPrimary, kSeekMost);
         for (Member* m : g.members) {
             if (!m->listed) continue;
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -42,7 +42,13 @@
     adapters::PgBackend backend(loop.io);
     routing::Core core(loop.io, clock, settings(), 1, {}, backend, logger);
     routing::Catalog catalog(loop.io, *transport::read_endpoint(agent.address()), {"a"}, core, logger,
-                             {.hold = 10ms, .slack = 30ms, .retry = 1ms, .retry_most = 2ms, .connect = 5s});
+                             {.hold = 10ms,
+                              .slack = 30ms,
+                              .whole = 30ms,
+                              .retry = 1ms,
+                              .again = 1ms,
+                              .retry_most = 2ms,
+                              .connect = 5s});
     loop.batch = [&] { core.run_batch(); };
     agent.replies = {
         Agent::reply(
@@ -114,7 +120,13 @@
         adapters::PgBackend backend(loop.io);
         routing::Core core(loop.io, clock, settings(), 1, {}, backend, logger);
         routing::Catalog catalog(loop.io, at[0], {"a"}, core, logger,
-                                 {.hold = 2ms, .slack = 5ms, .retry = 1ms, .retry_most = 2ms, .connect = 5s});
+                                 {.hold = 2ms,
+                                  .slack = 20ms,
+                                  .whole = 20ms,
+                                  .retry = 1ms,
+                                  .again = 1ms,
+                                  .retry_most = 2ms,
+                                  .connect = 5s});
         loop.batch = [&] { core.run_batch(); };
         catalog.follow();
         int now = 0, revision[2] = {100, 900};
@@ -283,6 +295,71 @@
     CHECK(std::get<Cancel>(actions[0]).attempt == 0);
 }
 
+TEST_CASE("the module: where poolers are many, each asks but a part of a group at first use") {
+    using namespace starlingpond;
+    for (auto [fleet, expected] : {std::pair{4u, 6}, {48u, 3}}) {
+        Time now{100s};
+        auto s = settings();
+        s.fleet_size = fleet;
+        Brain brain(s, 3, now);
+        Actions actions;
+        List list{ListKind::full, {}};
+        for (std::uint32_t i = 0; i < 6; ++i)
+            list.entries.push_back({MemberId{i}, GroupId{1}, ZoneId{}, MemberState::ready, i == 4, {}});
+        brain.handle(now, list, actions);
+        actions.clear();
+        Request q;
+        q.id = RequestId{1}, q.cls = ClassId{0}, q.group = GroupId{1}, q.patience = 1s;
+        brain.handle(now, q, actions);
+        int probes = 0;
+        bool primary = false;
+        for (auto& a : actions)
+            if (auto* p = std::get_if<Probe>(&a)) ++probes, primary = primary || p->member == MemberId{4};
+        CHECK(probes == expected);
+        CHECK(primary);
+    }
+}
+
+TEST_CASE("the module: a missing primary is looked for at a pace that the group's reads pay for") {
+    using namespace starlingpond;
+    auto probes = [](int reads) {
+        Time now{100s};
+        Brain brain(settings(), 3, now);
+        Actions actions;
+        auto run = [&](const Event& e) { brain.handle(now, e, actions); };
+        List list{ListKind::full, {}};
+        for (std::uint32_t i = 0; i < 4; ++i)
+            list.entries.push_back({MemberId{i}, GroupId{1}, ZoneId{}, MemberState::ready, false, {}});
+        run(list);
+        std::uint64_t id = 0;
+        int count = 0;
+        Request q;
+        q.id = RequestId{++id}, q.cls = ClassId{2}, q.group = GroupId{1}, q.patience = 8s,
+        q.session = SessionKey{1};
+        run(q);  // a write is held all the time
+        for (int ms = 0; ms < 3000; ms += 20) {
+            now = Time(100s) + std::chrono::milliseconds(ms);
+            for (int i = 0; i < reads; ++i) {
+                q.id = RequestId{++id}, q.cls = ClassId{0}, q.patience = 500ms, q.session.reset();
+                run(q);
+            }
+            run(Timer{TimerId{0}});
+            auto done = std::exchange(actions, {});
+            for (auto& a : done)
+                if (auto* p = std::get_if<Probe>(&a)) {
+                    ++count;
+                    ProbeResult r;
+                    r.member = p->member, r.status = Status::ok, r.report.primary = false;
+                    run(r);
+                }
+        }
+        return count;
+    };
+    int idle = probes(0), busy = probes(2);
+    CHECK(idle <= 20);   // each second
+    CHECK(busy >= 100);  // ten times as often
+}
+
 TEST_CASE("the module: a session read passes over replicas that can't reach its token in time") {
     using namespace starlingpond;
     for (auto [behind, expected] : {std::pair{20ms, MemberId{2}}, {2000ms, MemberId{1}}}) {
