Take statements with values up to 4 MiB, read as far as there is room for them

Seen: statements beyond 160 KiB were turned away by their header (54000), though values reach 4 MiB. Several copies of 8 MiB of text (buffer, literal, its bytes, statement, with its deadline, message) would not fit into 48 MB. Now a long statement is read only once the door has room for it (0.4 of the memory, twice its length each); the others wait unread, which costs them nothing: a request's time counts from its last byte. It is copied once as an item and once as a message; its literal is looked at where it stands.

--- a/src/adapters/door.cpp
+++ b/src/adapters/door.cpp
@@ -2,6 +2,8 @@
 
 #include <unistd.h>
 
+#include <algorithm>
+#include <boost/asio/post.hpp>
 #include <utility>
 #include <vector>
 
@@ -138,7 +140,28 @@
     leave(session);
 }
 
+bool Door::grant(Session& session, std::size_t bytes) {
+    if (long_ + bytes > long_most_) {
+        waiting_[&session] = session.weak_from_this();
+        return false;
+    }
+    waiting_.erase(&session);
+    long_ += session.granted = bytes;
+    return true;
+}
+
+void Door::take_back(Session& session) {
+    waiting_.erase(&session);
+    if (session.granted == 0) return;
+    long_ -= std::exchange(session.granted, 0);
+    boost::asio::post(io_, [this, waiting = waiting_] {
+        for (auto& [key, weak] : waiting)
+            if (auto other = weak.lock(); other && waiting_.count(key)) other->try_again();
+    });
+}
+
 void Door::leave(const std::shared_ptr<Session>& session) {
+    take_back(*session);
     if (sessions_.erase(session->used) > 0) {
         bytes_ -= session->counted;
         served_ -= session->served;
@@ -149,7 +172,7 @@
 
 bool Door::crowded(Session& session) {
     constexpr std::size_t small = 16384;
-    std::size_t held = session.held();
+    std::size_t held = session.held() - std::min(session.held(), session.granted);
     bytes_ += held - session.counted;
     session.counted = held;
     return bytes_ > bytes_most_ && held > small;
--- a/src/adapters/door.hpp
+++ b/src/adapters/door.hpp
@@ -34,6 +34,12 @@
     void touch(Session& session);                         // it has had a request, or the answer to one
     void leave(const std::shared_ptr<Session>& session);  // the session is over
     bool refusing() const { return refusing_; }
+    // Long messages may take so many bytes, all together. What there is no room for waits unread: the time of
+    // a request counts from its last byte.
+    void limit_long(std::size_t bytes) { long_most_ = bytes; }
+    std::size_t long_most() const { return long_most_; }
+    bool grant(Session& session, std::size_t bytes);  // false: it is told when there may be room
+    void take_back(Session& session);
     // Whether a session is to close between requests: one that has just come has a moment to ask first.
     bool retires(const Session& session) const;
     // Whether the sessions hold too much and this one has a large part in it.
@@ -61,6 +67,8 @@
     std::shared_ptr<int> lingering_ = std::make_shared<int>(0);  // as many others hold it as linger
     void sweep();
 
+    std::size_t long_most_ = 32 << 20, long_ = 0;
+    std::map<Session*, std::weak_ptr<Session>> waiting_;  // for room
     bool retiring_ = false, refusing_ = false;
     boost::asio::steady_timer sweeper_;
 };
--- a/src/adapters/pg_backend.cpp
+++ b/src/adapters/pg_backend.cpp
@@ -111,20 +111,20 @@
         row_limit_ = verb_ == Item::Verb::page ? item.limit : 1;
         in_pieces_ = item.in_pieces && verb_ != Item::Verb::page;
         if (item.statement.empty())
-            query(comment_of(item, text) + statement_of(item), false);
+            query(pg::Writer().query(comment_of(item, text) + statement_of(item)).take(), false);
         else
-            query(pg::with_deadline(item.statement, pg::read_statement(item.statement), text), false);
+            query(pg::query_with_deadline(item.statement, pg::read_statement(item.statement), text), false);
     }
     void probe() override {
         row_limit_ = 1;
         in_pieces_ = false;
-        query("SHOW health", true);
+        query(pg::Writer().query("SHOW health").take(), true);
     }
 
   private:
     enum class Part { authentication, greeting, columns, rows, ready };  // what comes next
 
-    void query(const std::string& sql, bool probing) {
+    void query(std::string message, bool probing) {
         result_ = Result{};
         probing_ = probing;
         bytes_ = left_ = rows_ = 0;
@@ -132,7 +132,7 @@
         connection_->limit_unread(kRowLimit + kOtherLimit);
         connection_->read_room(2048);
         part_ = Part::columns;
-        ask(pg::Writer().query(sql).take());
+        ask(std::move(message));
     }
 
     void on_connected() override { connection_->write(pg::Writer().startup("backend", "store").take()); }
--- a/src/adapters/pg_front.cpp
+++ b/src/adapters/pg_front.cpp
@@ -13,8 +13,9 @@
 namespace {
 
 constexpr std::size_t kStartupLimit = 10000;       // as PostgreSQL has it
-constexpr std::size_t kMessageLimit = 160 * 1024;  // 64 KiB in bytea's text form, and what stands round it
-constexpr std::size_t kValueLimit = 64 * 1024, kNameLimit = 1024;  // in bytes
+constexpr std::size_t kUsualMessage = 160 * 1024;  // 64 KiB in bytea's text form, and what stands round it
+constexpr std::size_t kValueLimit = 4 << 20, kNameLimit = 1024;  // in bytes
+constexpr std::size_t kMessageLimit = 2 * kValueLimit + 16 * 1024;
 constexpr auto kPatienceMost = std::chrono::seconds(60);  // all that is kept for a request ends by then
 constexpr std::uint32_t kRowsLimit = 10000;               // of a page
 constexpr std::uint32_t kByteaType = 17, kTextType = 25;
@@ -50,9 +51,10 @@
     PgSession(boost::asio::io_context& io, Door& door, const Classes& classes, PgOptions options,
               Intake& intake, Logger& logger)
         : Session(io, door, intake,
-                  {.unread = kMessageLimit + 8192, .patience = options.patience, .reading = options.reading}),
+                  {.unread = kUsualMessage + 8192, .patience = options.patience, .reading = options.reading}),
           classes_(classes),
-          logger_(logger) {}
+          logger_(logger),
+          longest_(std::min(kMessageLimit, std::max(kUsualMessage, door.long_most() / 2))) {}
 
   private:
     enum class Expects { startup, command, sync };
@@ -111,8 +113,11 @@
     bool command() {
         pg::Message m;
         std::size_t length = 0;
-        pg::Next next = pg::next_message(in_->view(), kMessageLimit, m, length);
-        if (next == pg::Next::more) return false;
+        pg::Next next = pg::next_message(in_->view(), longest_, m, length);
+        if (next == pg::Next::more) {
+            if (length > kUsualMessage) expect(length);
+            return false;
+        }
         if (next == pg::Next::malformed) return fatal(pg::sqlstate::protocol_violation, "malformed message");
         // Nothing so long can be of use, and reading past it would cost all others: the header is enough.
         if (next == pg::Next::too_long) return fatal(pg::sqlstate::program_limit, "the message is too long");
@@ -180,7 +185,7 @@
         if (is_open(item.id))
             return reject({pg::sqlstate::invalid_parameter, "a request of this id is in hand"});
         // The item keeps the statement and what was read from it.
-        if (!has_room(2 * sql.size())) {
+        if (!has_room(sql.size() + std::min(sql.size(), kUsualMessage))) {
             write(pg::Writer()
                       .error("ERROR", pg::sqlstate::too_many_connections, "too much is in hand", "250")
                       .ready()
@@ -209,6 +214,14 @@
         if (verb.kind != pg::Verb::Kind::page && verb.name.empty()) return "the name is empty";
         if (verb.kind == pg::Verb::Kind::page && (verb.limit == 0 || verb.limit > kRowsLimit))
             return "a page has a row at least, and not so many";
+        if (std::string_view text = verb.long_content; !text.empty()) {
+            if (text.substr(0, 2) == "\\x") {
+                if (!pg::is_hex(text)) return "the value is no bytea";
+                return text.size() / 2 - 1 > kValueLimit ? "the value is too long" : nullptr;
+            }
+            if (text.find('\\') != std::string_view::npos) return "the value is no bytea";
+            return text.size() > kValueLimit ? "the value is too long" : nullptr;
+        }
         if (!verb.content) return nullptr;
         if (verb.content->substr(0, 2) == "\\x") {
             auto bytes = pg::unhex(*verb.content);
@@ -340,6 +353,7 @@
 
     const Classes& classes_;
     Logger& logger_;
+    std::size_t longest_;              // message
     transport::Buffer* in_ = nullptr;  // the connection's
     Expects expects_ = Expects::startup;
     int declined_ = 0;
--- a/src/adapters/rest_backend.cpp
+++ b/src/adapters/rest_backend.cpp
@@ -30,6 +30,13 @@
     return ms;
 }
 
+// A long value stands in the statement alone.
+std::string content_of(const Item& item) {
+    if (item.content || item.statement.empty()) return item.content.value_or("");
+    return std::string(
+        protocol::pg::read_verb(protocol::pg::read_statement(item.statement).body).long_content);
+}
+
 class RestLink : public LinkBase {
   public:
     RestLink(boost::asio::io_context& io, Owner& owner, std::string host)
@@ -53,7 +60,7 @@
                 return;
             case Item::Verb::write: {
                 fields.push_back({"Content-Type", "application/octet-stream"});
-                std::string body = rest::raw_content(item.content.value_or(""), false);
+                std::string body = rest::raw_content(content_of(item), false);
                 if (body.empty()) fields.push_back({"Content-Length", "0"});
                 ask(http::write_request("PUT", target + "/" + http::percent_encode(item.name), host_, fields,
                                         body));
--- a/src/adapters/session.cpp
+++ b/src/adapters/session.cpp
@@ -96,6 +96,22 @@
     if (state_ != State::over) connection_->resume();
 }
 
+void Session::try_again() {
+    auto self = shared_from_this();
+    work();
+}
+
+bool Session::expect(std::size_t length) {
+    if (granted > 0) return true;
+    // Once as it is read, once as it waits to be sent on.
+    if (!door_.grant(*this, 2 * length)) return false;
+    expected_since_ = std::chrono::steady_clock::now();
+    progress_ = true;
+    in_->reserve(length + 4096);  // and what is read beyond it
+    connection_->limit_unread(length);
+    return true;
+}
+
 void Session::ask(routing::Item item) {
     door_.touch(*this);
     has_begun_ = progress_ = true;
@@ -122,6 +138,10 @@
 void Session::answered(std::string bytes) {
     auto self = shared_from_this();
     passing_on_ = false;
+    if (granted > 0) {
+        connection_->limit_unread(limits_.unread);
+        door_.take_back(*this);
+    }
     state_ = State::between;
     connection_->write(std::move(bytes));
     work();
@@ -148,11 +168,17 @@
     watching_ = waits;
     if (!waits) return;
     sent_ = connection_->sent();
+    seen_ = in_ ? in_->size() : 0;
     timer_.expires_after(passing_on_ ? limits_.reading : limits_.patience);
     timer_.async_wait([weak = weak_from_this(), number = watches_](const transport::error_code& ec) {
         auto self = weak.lock();
         if (!self || ec || number != self->watches_ || (self->state_ != State::between && !self->passing_on_))
             return;
+        if (self->granted > 0 && self->in_->size() > self->seen_ &&
+            std::chrono::steady_clock::now() < self->expected_since_ + kLongest) {  // it writes, if slowly
+            self->progress_ = true;
+            return self->watch();
+        }
         if (self->connection_->unwritten() == 0) return self->on_impatient();
         if (self->connection_->sent() > self->sent_) {  // it reads, if slowly
             self->progress_ = true;
--- a/src/adapters/session.hpp
+++ b/src/adapters/session.hpp
@@ -39,6 +39,8 @@
     std::uint64_t used = 0;                      // when it last had a request, or came, as a count
     std::chrono::steady_clock::time_point came;  // and the time that it came
     bool served = false;                         // it has had a request
+    std::size_t granted = 0;                     // bytes that the door lets it keep beyond the usual
+    void try_again();                            // the door may have room for what it waits for
     std::size_t held() const;                    // bytes that it keeps in memory, unread and unwritten
     std::size_t counted = 0;                     // and those that the door knows of
 
@@ -51,7 +53,11 @@
     virtual void on_impatient() = 0;  // a request does not end, or no first one has come: leave()
     virtual void on_no_memory() = 0;  // what the clients hold together is too much: leave()
 
-    void ask(routing::Item item);  // one request; served() or ended() follows
+    // A message of that length is under way. False: there is no room for it yet, and no more is read until
+    // there is.
+    bool expect(std::size_t length);
+    static constexpr auto kLongest = std::chrono::seconds(30);  // for one that is under way all the time
+    void ask(routing::Item item);                               // one request; served() or ended() follows
     bool has_room(std::size_t bytes) const { return intake_.has_room(bytes); }
     void answered(std::string bytes);
     bool pass_on(std::string bytes);  // part of the answer; false: resume() follows, when there is room
@@ -82,6 +88,8 @@
     transport::Buffer* in_ = nullptr;  // the connection's
     State state_ = State::between;
     routing::RequestId request_{};
+    std::size_t seen_ = 0;  // of a long message when the watch began
+    std::chrono::steady_clock::time_point expected_since_;
     std::uint64_t sent_ = 0;     // by the connection when the watch began
     std::uint64_t watches_ = 0;  // begun so far: a ring of an earlier one says nothing
     bool passing_on_ = false;    // a long value has begun
--- a/src/program/lifecycle.cpp
+++ b/src/program/lifecycle.cpp
@@ -33,6 +33,7 @@
 // Of the descriptors, for clients that have been served and may ask again. The platform's clients hold a
 // third of them at most: at half of that those that wait for a connection still get one.
 constexpr double kServedShare = 1.0 / 6;
+constexpr double kLongShare = 0.4;    // of the memory, for long statements on their way
 constexpr double kUnreadShare = 0.2;  // of it, for what clients have not ended or not read
 
 std::string scratch_folder() {
@@ -150,6 +151,7 @@
     auto pg_front = std::make_unique<adapters::PgFront>(io_, where(config_.listen, "pg"), clients_,
                                                         config_.classes, adapters::PgOptions{}, *core_, log_);
     pg_front->limit_bytes(unread);
+    pg_front->limit_long(std::size_t(double(config_.memory_mb) * kLongShare * 1048576));
     pg_front->limit_served(std::size_t(double(config_.sockets) * kServedShare));
     fronts_.push_back(std::move(pg_front));
     if (config_.rest.enabled) {
--- a/src/protocol/pg.cpp
+++ b/src/protocol/pg.cpp
@@ -273,8 +273,12 @@
     bool quoted = false;
     std::size_t end = sql.size();
     for (std::size_t i = 0; i < sql.size(); ++i) {
-        if (sql[i] == '\'') quoted = !quoted;
-        if (sql[i] != ';' || quoted) continue;
+        if (sql[i] == '\'') {
+            i = sql.find('\'', i + 1);  // a doubled quote is the end of one literal and the start of another
+            quoted = i == std::string_view::npos;
+            if (quoted) break;
+        }
+        if (sql[i] != ';') continue;
         end = std::min(end, i);
         std::string_view rest = sql.substr(i + 1);
         if (std::any_of(rest.begin(), rest.end(), [](char c) { return !blank(c) && c != ';'; }))
@@ -288,6 +292,8 @@
 
 namespace {
 
+constexpr std::size_t kLongLiteral = 160 * 1024;  // is not copied
+
 // Words, quoted literals and single characters, one after the other.
 class Scanner {
   public:
@@ -309,6 +315,12 @@
     std::optional<std::string> literal() {
         skip();
         if (rest_.empty() || rest_[0] != '\'') return std::nullopt;
+        std::size_t end = rest_.find('\'', 1);
+        if (end != std::string_view::npos && (end + 1 == rest_.size() || rest_[end + 1] != '\'')) {
+            std::string plain(rest_.substr(1, end - 1));
+            rest_.remove_prefix(end + 1);
+            return plain;
+        }
         std::string value;
         for (std::size_t i = 1; i < rest_.size(); ++i) {
             if (rest_[i] == '\'') {
@@ -322,6 +334,15 @@
         }
         return std::nullopt;
     }
+    // A literal of that length at least, as it stands; one with a quote in it is none.
+    std::optional<std::string_view> long_literal(std::size_t least) {
+        skip();
+        std::size_t end = rest_.empty() || rest_[0] != '\'' ? std::string_view::npos : rest_.find('\'', 1);
+        if (end == std::string_view::npos || end - 1 < least) return std::nullopt;
+        std::string_view value = rest_.substr(1, end - 1);
+        rest_.remove_prefix(end + 1);
+        return value;
+    }
     std::optional<std::uint32_t> number() {
         skip();
         std::uint32_t value = 0;
@@ -357,11 +378,13 @@
     if (Scanner s(body); s.words({"insert", "into", "kv", "(", "name", ",", "content", ")", "values", "("})) {
         auto name = s.literal();
         bool comma = name && s.word(",");
-        auto content = comma ? s.literal() : std::nullopt;
-        if (content && s.words({")", "returning", "content"}) && s.done()) {
+        auto whole = comma ? s.long_literal(kLongLiteral) : std::nullopt;
+        auto content = comma && !whole ? s.literal() : std::nullopt;
+        if ((whole || content) && s.words({")", "returning", "content"}) && s.done()) {
             verb.kind = Verb::Kind::write;
             verb.name = *name;
-            verb.content = *content;
+            verb.content = content;
+            verb.long_content = whole.value_or(std::string_view{});
             return verb;
         }
     }
@@ -390,9 +413,17 @@
     return verb;
 }
 
-std::string with_deadline(std::string_view sql, const Statement& statement, std::string_view value) {
-    std::string out;
-    out.reserve(sql.size() + 16);
+std::string query_with_deadline(std::string_view sql, const Statement& statement, std::string_view value) {
+    std::string out = with_deadline(sql, statement, value, std::string("Q\0\0\0\0", 5));
+    out += '\0';
+    auto size = std::uint32_t(out.size() - 1);
+    for (int i = 0; i < 4; ++i) out[std::size_t(1 + i)] = char(size >> (24 - 8 * i));
+    return out;
+}
+
+std::string with_deadline(std::string_view sql, const Statement& statement, std::string_view value,
+                          std::string out) {
+    out.reserve(out.size() + sql.size() + value.size() + 16);
     if (auto d = statement.field("d")) {
         std::size_t at = std::size_t(d->data() - sql.data());
         out += sql.substr(0, at);
@@ -458,6 +489,12 @@
     return out;
 }
 
+bool is_hex(std::string_view text) {
+    return text.substr(0, 2) == "\\x" && text.size() % 2 == 0 &&
+           std::all_of(text.begin() + 2, text.end(),
+                       [](char c) { return (c >= '0' && c <= '9') || ((c | 32) >= 'a' && (c | 32) <= 'f'); });
+}
+
 std::optional<std::string> unhex(std::string_view text) {
     if (text.substr(0, 2) != "\\x" || text.size() % 2) return std::nullopt;
     std::string out;
--- a/src/protocol/pg.hpp
+++ b/src/protocol/pg.hpp
@@ -115,17 +115,23 @@
     enum class Kind { lookup, write, page, other } kind = Kind::other;
     std::string name;                    // of the row looked up or written; the row before a page
     std::optional<std::string> content;  // written: the literal's value as it stands
+    std::string_view long_content;       // or this, where it is long: not copied, and with no quote in it
     std::optional<std::string> prefix;
     std::uint32_t limit = 0;
 };
 Verb read_verb(std::string_view body);
 
-// The same text with field `d` set to `value`; added where there was none.
-std::string with_deadline(std::string_view sql, const Statement& statement, std::string_view value);
+// The same text with field `d` set to `value`; added where there was none. Appended to `out`, in one
+// allocation.
+std::string with_deadline(std::string_view sql, const Statement& statement, std::string_view value,
+                          std::string out = {});
+// A query message of that text.
+std::string query_with_deadline(std::string_view sql, const Statement& statement, std::string_view value);
 
 bool valid_text(std::string_view bytes);   // UTF-8 without control characters but blanks
 std::string quote(std::string_view text);  // as a string literal
 std::string hex(std::string_view bytes);   // as bytea's text form: \x...
 std::optional<std::string> unhex(std::string_view text);
+bool is_hex(std::string_view text);  // whether unhex() reads it
 
 }  // namespace indigovane::protocol::pg
--- a/src/transport/buffer.hpp
+++ b/src/transport/buffer.hpp
@@ -28,6 +28,14 @@
         if (bytes_.size() - end_ < room) bytes_.resize(std::max(end_ + room, bytes_.size() * 2));
         return {bytes_.data() + end_, bytes_.size() - end_};
     }
+    // Room for so many unread bytes in all, and no more: what is to come is known.
+    void reserve(std::size_t total) {
+        compact();
+        if (bytes_.size() >= total) return;
+        std::vector<char> larger(total);
+        std::memcpy(larger.data(), bytes_.data(), size());
+        bytes_.swap(larger);
+    }
     void commit(std::size_t count) { end_ += count; }
     void consume(std::size_t count) {
         begin_ += std::min(count, size());
--- a/tests/walk_test.cpp
+++ b/tests/walk_test.cpp
@@ -286,6 +286,35 @@
     CHECK(d.replica_queries() == 6);  // none was asked for again
 }
 
+TEST_CASE_TEMPLATE("values of some MiB are written, slowly and in pieces, whatever wire the hosts speak", D,
+                   RestDeployment, PgDeployment) {
+    D d;
+    Dice dice(6);
+    for (std::size_t size : {100u, 70000u, 200000u, 1000000u, 4u << 20}) {
+        std::string value(size, 'x');
+        for (std::size_t i = 0; i < size; i += 97) value[i] = char(dice.below(256));
+        Client client(d.loop, d.pg.local());
+        client.send(pg::Writer().startup("u", "d").take());
+        client.reply();
+        std::string bytes = pg::Writer()
+                                .query("/* id=w" + std::to_string(size) +
+                                       ",c=scan-write,t=a,d=3000,k=1,cluster=3 */ INSERT INTO kv (name, "
+                                       "content) VALUES ('big', '" +
+                                       pg::hex(value) + "') RETURNING content")
+                                .take();
+        while (!bytes.empty()) {
+            std::size_t count = std::min(bytes.size(), 1 + dice.below(dice.below(2) ? 300 : 2000000));
+            client.send(bytes.substr(0, count));
+            bytes.erase(0, count);
+            d.loop.io.restart();
+            d.loop.io.poll();
+        }
+        CHECK(client.reply() == "TDCZ");
+        CHECK(d.hosts[0].rows["big"] == value);
+    }
+    CHECK(d.hosts[0].queries == 5);
+}
+
 TEST_CASE("few connections to members: all requests are answered all the same") {
     PgDeployment d(3);
     std::vector<std::unique_ptr<Client>> clients;
