--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -30,7 +30,7 @@
 
 // Probing in trouble.
 constexpr Duration kSeekPrimary = milliseconds(100);  // probe a group with no usable primary: reports are
-constexpr double kSeekProbes = 2.5;  // hardly newer sooner; no more than so many a read,
+constexpr double kSeekProbes = 2.5;         // hardly newer sooner; no more than so many a read,
 constexpr Duration kSeekMost = seconds(1);  // but each second at least
 constexpr Duration kFirstHold = milliseconds(300);    // longest wait for a fresh router's first probes
 constexpr int kProbeFailures = 2;               // time-outs in a row before a probe counts against a member
@@ -88,7 +88,8 @@
 constexpr Duration kRetryAfter = milliseconds(250);     // advice with a refusal: a lag or a gap lasts longer
 
 // Cold members.
-constexpr double kColdCare = 0.8;  // part used of what a cold member can surely do: draws come in runs
+constexpr double kColdCare = 0.8;     // part used of what a cold member can surely do: draws come in runs
+constexpr double kColdCareFew = 1.4;  // where windows bind, too: they grow with answers in time alone
 
 // Lists and sessions.
 constexpr Duration kListBackoff = milliseconds(400);  // after a failed call, doubling, with jitter
@@ -276,8 +277,8 @@
     double chance() { return double(random() >> 11) * 0x1.0p-53; }
     void log(std::string text) {
         if (logged && now - *logged < kLogEvery) return;
-        logged = now;
         act(Log{std::move(text)});
+        logged = now;
     }
     static std::string name(MemberId id) { return std::to_string(std::uint32_t(id)); }
 
@@ -504,10 +505,9 @@
     void on(const Retune& t) {
         auto before = std::exchange(classes, {});
         apply(t.settings);
-        for (std::size_t i = 0; i < std::min(classes.size(), t.continues.size()); ++i) {
+        for (std::size_t i = 0; i < std::min(classes.size(), t.continues.size()); ++i)
             if (t.continues[i] && std::size_t(*t.continues[i]) < before.size())
                 classes[i]->usual_ms = before[std::size_t(*t.continues[i])]->usual_ms;
-        }
         for (auto& [id, g] : groups) pump(g);
     }
 
@@ -564,7 +564,7 @@
     static Duration ping(const Member& m) {
         Duration sum{};
         for (Duration p : m.pings) sum += p;
-        return m.pings.empty() ? Duration::zero() : sum / int(m.pings.size());
+        return sum / std::max(1, int(m.pings.size()));
     }
 
     // ---- health --------------------------------------------------------------------------------
@@ -665,8 +665,8 @@
 
     // The part of its full work that a member can surely do now.
     double ready_share(const Member& m) const {
-        double from = set.cold_from.value_or(0);
-        return kColdCare * (from + (1 - from) * std::max(0.0, ms(now - *m.started) / ms(*set.ramp)));
+        double from = set.cold_from.value_or(0), care = fleet() <= kFewProxies ? kColdCareFew : kColdCare;
+        return care * (from + (1 - from) * std::max(0.0, ms(now - *m.started) / ms(*set.ramp)));
     }
 
     // A cold member gets the share it can surely do of the requests that would be its own: those whose draw
@@ -755,7 +755,6 @@
     }
 
     static bool passes(const Member& m, Time need) { return m.position && *m.position >= need; }
-
     // No replica is known to pass.
     Choice choose_unfit(const Group& g, Live& r, const std::vector<Member*>& up) {
         bool bounded = r.cls->consistency == Consistency::bounded;
@@ -983,8 +982,8 @@
             log("primary is member " + name(p->id));
             g.logged_primary = p->id;
         }
-        bool seeking = !g.held.empty() && (!p || !p->listed || p->trouble != Trouble::none);
         bool paced = steady(g);
+        bool seeking = !g.held.empty() && (!p || !p->listed || p->trouble != Trouble::none);
         Duration seek = std::clamp(kUseMemory * int(g.members.size()) / int(kSeekProbes * reads(g) + 1),
                                    kSeekPrimary, kSeekMost);
         for (Member* m : g.members) {
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -320,6 +320,50 @@
     }
 }
 
+TEST_CASE("the module: a cold member gets more of its share where windows bind as well") {
+    using namespace starlingpond;
+    auto sent = [](std::uint32_t fleet) {
+        Time now{100s};
+        auto s = settings();
+        s.fleet_size = fleet, s.cold_from = 0.5, s.ramp = 1h;
+        Brain brain(s, 3, now);
+        Actions actions;
+        auto run = [&](const Event& e) { brain.handle(now, e, actions); };
+        List list{ListKind::full, {}};
+        for (std::uint32_t i = 0; i < 3; ++i)
+            list.entries.push_back({MemberId{i}, GroupId{1}, ZoneId{}, MemberState::ready, i == 0,
+                                    i == 2 ? std::optional(now) : std::nullopt});
+        run(list);
+        int cold = 0;
+        for (std::uint64_t id = 1; id <= 1000; ++id) {
+            now += 5ms;
+            for (std::uint32_t i = 1; i < 3; ++i) {
+                ProbeResult p;
+                p.member = MemberId{i}, p.status = Status::ok, p.latency = 1ms, p.report.position = now;
+                run(p);
+            }
+            Request q;
+            q.id = RequestId{id}, q.cls = ClassId{0}, q.group = GroupId{1}, q.patience = 1s;
+            actions.clear();
+            run(q);
+            for (auto& a : std::exchange(actions, {}))
+                if (auto* send = std::get_if<Send>(&a)) {
+                    cold += send->member == MemberId{2};
+                    Outcome o;
+                    o.id = q.id, o.member = send->member, o.status = Status::ok, o.latency = 10ms,
+                    o.finished = true;
+                    run(o);
+                }
+        }
+        return cold;
+    };
+    int few = sent(4), many = sent(48);
+    CHECK(many > 150);  // 0.8 of half a share
+    CHECK(many < 250);
+    CHECK(few > 300);  // 1.4 of it
+    CHECK(few < 400);
+}
+
 TEST_CASE("the module: a missing primary is looked for at a pace that the group's reads pay for") {
     using namespace starlingpond;
     auto probes = [](int reads) {
