--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 # The module and what came with it keep their own layout.
 OWN_SOURCES = $(filter-out src/brain.cpp src/wire/% tests/brain_test.cpp tests/wire_test.cpp tests/link_example.cpp, $(SOURCES))
 
-.PHONY: setup build test sanitize bench fuzz lint format run clean
+.PHONY: setup build test sanitize bench crowding fuzz lint format run clean
 
 # Installs every package that packages.txt lists.
 setup:
@@ -29,8 +29,15 @@
 # Prints what each part costs; the machine should have nothing else to do.
 bench:
 	cmake -S . -B build-bench -DCMAKE_BUILD_TYPE=Release -DINDIGOVANE_BENCH=ON
-	cmake --build build-bench -j$(JOBS) --target statement_bench
+	cmake --build build-bench -j$(JOBS) --target statement_bench added_bench
 	build-bench/bench/statement_bench
+	build-bench/bench/added_bench
+
+# Beside a costly shape at five times its share: own-order reads within 200 ms, limits off and on.
+crowding:
+	cmake -S . -B build-test -DCMAKE_BUILD_TYPE=Release -DSTARLINGPOND_TESTS=ON -DSTARLINGPOND_STRICT=ON
+	cmake --build build-test -j$(JOBS) --target open_test
+	build-test/tests/open_test --no-skip --test-case="crowding*" --success=false
 
 # SECONDS=60 a target; what it finds new is kept under build-fuzz.
 SECONDS ?= 60
--- a/src/program/lifecycle.cpp
+++ b/src/program/lifecycle.cpp
@@ -271,8 +271,15 @@
         if (fresh.statements->open && config_.members == Wire::rest) return;
         statements_->set(fresh.statements->rules, options_of(*fresh.statements));
     }
-    if (limited_) limited_->set(fresh.statements->limits);
     config_.statements = fresh.statements;
+    if (limited_) limited_->set(shared_limits());
+}
+
+// Two processes of one pooler have together what one may have in flight.
+limits::Settings Lifecycle::shared_limits() const {
+    limits::Settings limits = config_.statements->limits;
+    if (succession_.company()) limits.work /= 2;
+    return limits;
 }
 
 routing::Intake& Lifecycle::intake() {
@@ -386,6 +393,7 @@
 void Lifecycle::on_company() {
     std::size_t parts = succession_.company() ? 2 : 1;
     core_->limit(limits_.links / parts, limits_.bytes / parts);
+    if (limited_) limited_->set(shared_limits());
     log_.log(Level::notice, "succession",
              parts == 2 ? "another process serves as well" : "this process serves alone", {});
     if (parts == 1 && phase_ == Phase::handing_over) begin_drain();  // the heir is gone
--- a/src/program/lifecycle.hpp
+++ b/src/program/lifecycle.hpp
@@ -53,6 +53,7 @@
     void on_reload();
     void retune(const Config& fresh);
     void retune_statements(const Config& fresh);
+    limits::Settings shared_limits() const;
     routing::Intake& intake();
     void check_drained();
     void watch_taken_out();
--- a/src/statement/scanner.cpp
+++ b/src/statement/scanner.cpp
@@ -30,7 +30,14 @@
 }
 constexpr auto kClasses = make_classes();
 
-bool is(char c, std::uint8_t what) {
+constexpr std::array<char, 256> make_lower() {
+    std::array<char, 256> l{};
+    for (int b = 0; b < 256; ++b) l[std::size_t(b)] = char(b >= 'A' && b <= 'Z' ? b + 32 : b);
+    return l;
+}
+constexpr auto kLower = make_lower();
+
+inline bool is(char c, std::uint8_t what) {
     return (kClasses[std::uint8_t(c)] & what) != 0;
 }
 char lower(char c) {
@@ -100,15 +107,23 @@
 
 // ---- the canonical text ------------------------------------------------------------------------
 
+char* Scanner::room(std::size_t bytes) {
+    if (size_ + bytes > text_.size())
+        text_.resize(std::max<std::size_t>({1024, text_.size() * 2, size_ + bytes}));
+    return text_.data() + size_;
+}
+
+void Scanner::put(char c) {
+    char* to = room(2);
+    to[0] = ' ';
+    to[1] = c;
+    size_ += 2;
+}
+
 void Scanner::put(std::string_view token) {
-    if (size_ + token.size() + 1 > text_.size())
-        text_.resize(std::max<std::size_t>({1024, text_.size() * 2, size_ + token.size() + 1}));
-    char* to = text_.data() + size_;
+    char* to = room(token.size() + 1);
     *to++ = ' ';
-    if (token.size() == 1)
-        *to = token[0];
-    else
-        std::memcpy(to, token.data(), token.size());
+    std::memcpy(to, token.data(), token.size());
     size_ += token.size() + 1;
 }
 
@@ -124,7 +139,11 @@
     return lists_.back().kind == List::Kind::elements || lists_.back().kind == List::Kind::row;
 }
 
+// Only a sign asks what the word before it was: words are not looked up otherwise.
 bool Scanner::sign_belongs() const {
+    if (before_ == Before::word)
+        return word_length_ <= 9 &&
+               is_clause(std::string_view(text_.data() + size_ - word_length_, word_length_));
     return before_ != Before::operand;
 }
 
@@ -143,8 +162,14 @@
 
 void Scanner::end_element(List& list) {
     std::size_t length = size_ - list.begin;
-    if (list.has_previous && list.previous_end - list.previous == length &&
-        std::memcmp(text_.data() + list.previous, text_.data() + list.begin, length) == 0) {
+    if (length == 2 && list.has_previous && list.previous_end - list.previous == 2) {
+        // One byte: mostly a literal, of which a list may hold very many.
+        if (text_[list.previous + 1] == text_[list.begin + 1]) {
+            size_ = list.previous_end;
+            return;
+        }
+    } else if (list.has_previous && list.previous_end - list.previous == length &&
+               std::memcmp(text_.data() + list.previous, text_.data() + list.begin, length) == 0) {
         size_ = list.previous_end;  // with the comma between them
         return;
     }
@@ -222,16 +247,22 @@
         } else if (in[pos_] == '/' && pos_ + 1 < size && in[pos_ + 1] == '*') {
             std::size_t from = pos_, depth = 1;
             pos_ += 2;
+            // Both pairs that matter in a comment hold a slash. `pos_`: what is before it belongs to a pair
+            // already.
+            std::size_t look = pos_;
             while (depth > 0) {
-                // Of what a comment holds only these two pairs matter.
-                while (pos_ < size && in[pos_] != '*' && in[pos_] != '/') ++pos_;
-                if (pos_ + 1 >= size) return fail(Flaw::unterminated, from);
-                if (in[pos_] == '*' && in[pos_ + 1] == '/')
-                    --depth, pos_ += 2;
-                else if (in[pos_] == '/' && in[pos_ + 1] == '*')
-                    ++depth, pos_ += 2;
-                else
-                    ++pos_;
+                const void* found = look < size ? std::memchr(in + look, '/', size - look) : nullptr;
+                if (!found) return fail(Flaw::unterminated, from);
+                auto at = std::size_t(static_cast<const char*>(found) - in);
+                if (at > pos_ && in[at - 1] == '*') {
+                    --depth;
+                    pos_ = look = at + 1;
+                } else if (at + 1 < size && in[at + 1] == '*') {
+                    ++depth;
+                    pos_ = look = at + 2;
+                } else {
+                    look = at + 1;
+                }
             }
         } else {
             break;
@@ -246,12 +277,24 @@
     std::size_t size = in_.size();
     pos_ = open + 1;
     for (;;) {
-        if (escapes) {
-            while (pos_ < size && in[pos_] != '\'') pos_ += in[pos_] == '\\' ? 2 : 1;
-        } else {
-            const void* end = pos_ < size ? std::memchr(in + pos_, '\'', size - pos_) : nullptr;
-            pos_ = end ? std::size_t(static_cast<const char*>(end) - in) : size;
+        // Most strings are short: a call costs more than a few steps.
+        std::size_t quote = pos_, near = std::min(size, pos_ + 24);
+        while (quote < near && in[quote] != '\'') ++quote;
+        const void* end = nullptr;
+        if (quote == near) {
+            end = quote < size ? std::memchr(in + quote, '\'', size - quote) : nullptr;
+            quote = end ? std::size_t(static_cast<const char*>(end) - in) : size;
+        }
+        while (escapes && pos_ < quote) {
+            const void* back = std::memchr(in + pos_, '\\', quote - pos_);
+            if (!back) break;
+            pos_ = std::size_t(static_cast<const char*>(back) - in) + 2;
+            if (pos_ <= quote) continue;
+            // The quote was escaped: the next one counts.
+            end = pos_ < size ? std::memchr(in + pos_, '\'', size - pos_) : nullptr;
+            quote = end ? std::size_t(static_cast<const char*>(end) - in) : size;
         }
+        pos_ = quote;
         if (pos_ >= size) return fail(Flaw::unterminated, from);
         ++pos_;
         if (pos_ < size && in[pos_] == '\'') {  // a quote in the string
@@ -260,6 +303,7 @@
         }
         // Behind blanks that hold a new line a quote goes on with this string. Comments to the end of a line
         // count as blanks there, others do not.
+        if (pos_ >= size || !is(in[pos_], kBlank | kOperator)) break;
         std::size_t next = pos_;
         bool line = false;
         while (next < size) {
@@ -431,36 +475,30 @@
 
 void Scanner::word(std::size_t from) {
     const char* in = in_.data();
-    std::size_t size = in_.size();
-    pos_ = from + 1;
-    while (pos_ < size && is(in[pos_], kWordPart)) ++pos_;
-    std::size_t length = pos_ - from, begin = size_;
-    put(std::string_view(in + from, length));
-    char* text = text_.data() + begin + 1;
-    for (std::size_t i = 0; i < length; ++i) text[i] = lower(text[i]);
+    std::size_t size = in_.size(), end = from + 1;
+    while (end < size && is(in[end], kWordPart)) ++end;
+    pos_ = end;
+    std::size_t length = end - from;
+    char* text = room(length + 1);
+    *text++ = ' ';
+    for (std::size_t i = 0; i < length; ++i) text[i] = kLower[std::uint8_t(in[from + i])];
+    std::size_t begin = size_;
+    size_ += length + 1;
     std::string_view word(text, length);
     if (before_ == Before::opener && deep_ == 0 && !lists_.empty() &&
         lists_.back().kind == List::Kind::elements &&
         (word == "select" || word == "with" || word == "values" || word == "table"))
         lists_.back().kind = List::Kind::plain;  // IN (SELECT ...): its commas set no elements apart
     bool rows = false;
-    switch (length) {
-        case 2:
-            if (word == "in") {
-                before_ = Before::in;
-                return;
-            }
-            break;
-        case 5:
-            if (word == "array") {
-                before_ = Before::array;
-                return;
-            }
-            break;
-        case 6:
-            rows = word == "values";
-            break;
+    if (length == 2 && text[0] == 'i' && text[1] == 'n') {
+        before_ = Before::in;
+        return;
     }
+    if (length == 5 && word == "array") {
+        before_ = Before::array;
+        return;
+    }
+    rows = length == 6 && word == "values";
     if (rows) {
         before_ = Before::values;
         return;
@@ -472,7 +510,8 @@
         before_ = Before::operand;
         return;
     }
-    before_ = length <= 9 && is_clause(word) ? Before::clause : Before::operand;
+    word_length_ = length;
+    before_ = Before::word;
 }
 
 void Scanner::symbol(std::size_t from) {
@@ -519,11 +558,8 @@
     std::size_t size = in_.size();
     if (size >= 0xffffffffu) return fail(Flaw::too_long, 0);
     for (;;) {
-        if (pos_ < size && !is(in[pos_], kBlank | kOperator)) {
-            // nothing to skip
-        } else if (!skip_blank()) {
-            return false;
-        }
+        if (pos_ < size && in[pos_] == ' ') ++pos_;  // mostly one blank, and no comment
+        if (pos_ < size && is(in[pos_], kBlank | kOperator) && !skip_blank()) return false;
         if (pos_ >= size) break;
         if (size_ > options_.longest) return fail(Flaw::too_long, pos_);
         std::size_t from = pos_;
--- a/src/statement/scanner.hpp
+++ b/src/statement/scanner.hpp
@@ -79,7 +79,8 @@
         bool has_previous = false;
     };
     void put(std::string_view token);
-    void put(char c) { put(std::string_view(&c, 1)); }
+    void put(char c);
+    char* room(std::size_t bytes);  // where the next token goes
     void literal(Placeholder kind, std::size_t from);
     void word(std::size_t from);
     bool number(std::size_t from);
@@ -108,18 +109,18 @@
     std::uint64_t literals_ = 0, deep_ = 0;
     Flaw flaw_ = Flaw::none;
     std::size_t at_ = 0;
-    std::size_t sign_at_ = 0;
+    std::size_t sign_at_ = 0, word_length_ = 0;
     // What the token before was, as far as the next one depends on it.
     enum class Before : char {
         start,
+        word,
         operand,
         opener,
         comma,
         symbol,
         in,
         array,
-        values,
-        clause
+        values
     } before_ = Before::start;
     bool signed_ = false, several_ = false, ended_ = false;
 };
--- /dev/null
+++ b/src/store/environment.hpp
@@ -0,0 +1,62 @@
+// What the store needs of a machine: files, syncing, renaming, a lock. All of it behind one interface, so
+// that tests can bring about every failure and every power loss. Paths are within the store's folder.
+#pragma once
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace indigovane::store {
+
+struct Status {
+    int code = 0;      // errno; 0: well
+    std::string what;  // the call and the file
+    bool ok() const { return code == 0; }
+    std::string text() const;
+};
+
+// Opened to be written at its end, or to be read; not both.
+class File {
+  public:
+    virtual ~File() = default;
+    virtual Status append(
+        std::string_view bytes) = 0;  // all of them, or an error with any part of them written
+    virtual Status sync() = 0;        // after an error nothing is known of what is on disk
+    virtual Status read(std::uint64_t at, std::size_t length, std::string& out) = 0;  // shorter at the end
+    virtual std::uint64_t size() const = 0;
+};
+
+class Lock {
+  public:
+    virtual ~Lock() = default;
+};
+
+class Environment {
+  public:
+    virtual ~Environment() = default;
+    virtual Status create(const std::string& name,
+                          std::unique_ptr<File>& out) = 0;  // empty, whatever was there
+    virtual Status open(const std::string& name,
+                        std::unique_ptr<File>& out) = 0;  // ENOENT where there is none
+    virtual Status rename(const std::string& from, const std::string& to) = 0;
+    virtual Status remove(const std::string& name) = 0;
+    virtual Status sync_folder() = 0;  // makes creations, renames and removals last
+    virtual Status list(std::vector<std::string>& names) = 0;
+    // One holder at a time, over all processes; EWOULDBLOCK where another has it. It ends with its holder.
+    virtual Status lock(std::unique_ptr<Lock>& out) = 0;
+};
+
+// The folder is made where its parent exists. It never follows a link out of it, and opens no file that is
+// none.
+Status open_folder(const std::string& path, std::unique_ptr<Environment>& out);
+
+// What an operator should know before a folder is used.
+struct FolderCheck {
+    Status status;           // not writable, no folder, another's
+    bool in_memory = false;  // tmpfs or ramfs: nothing there outlasts the machine
+};
+FolderCheck check_folder(const std::string& path);
+
+}  // namespace indigovane::store
--- /dev/null
+++ b/src/store/session_table.hpp
@@ -0,0 +1,181 @@
+// Session positions: 64-bit keys in extendible hashing over small open-addressed pages. Pages are shared with
+// snapshots and copied when written (copy on write), so a snapshot costs its directory and never holds up a
+// writer; growth splits one page at a time, so no put pays for a rehash of all. 32 bytes an entry, pages
+// filled to 85% at most.
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace indigovane::store {
+
+class SessionTable {
+  public:
+    struct Entry {
+        std::uint64_t key = 0, value = 0, sequence = 0;
+        std::uint32_t expires_s = 0;        // Unix; 0: never
+        std::uint16_t used = 0, timed = 0;  // timed: the wheel holds it
+    };
+
+    SessionTable() : directory_(1, std::make_shared<Page>()) {}
+
+    const Entry* find(std::uint64_t key) const { return directory_[index(mix(key))]->find(key, mix(key)); }
+
+    // The entry of that key, made where there was none. Valid until the next call.
+    Entry& put(std::uint64_t key) {
+        std::uint64_t hash = mix(key);
+        for (;;) {
+            Page& page = own(index(hash));
+            if (Entry* e = page.find(key, hash)) return *e;
+            if (page.count < kMost) {
+                ++size_;
+                return page.insert(key, hash);
+            }
+            split(index(hash));
+        }
+    }
+
+    bool erase(std::uint64_t key) {
+        std::uint64_t hash = mix(key);
+        if (!directory_[index(hash)]->find(key, hash)) return false;
+        own(index(hash)).erase(key, hash);
+        --size_;
+        return true;
+    }
+
+    std::size_t size() const { return size_; }
+    std::size_t bytes() const {
+        std::size_t pages = 0;
+        for (std::size_t i = 0; i < directory_.size(); ++i)
+            if (i == 0 || directory_[i] != directory_[i - 1]) ++pages;
+        return pages * sizeof(Page) + directory_.capacity() * sizeof(directory_[0]);
+    }
+
+    class Snapshot {
+      public:
+        template <typename F>
+        void each(F&& f) const {
+            const void* last = nullptr;
+            for (const auto& page : directory_) {
+                if (page.get() == last) continue;
+                last = page.get();
+                for (const Entry& e : page->slots)
+                    if (e.used) f(e);
+            }
+        }
+
+      private:
+        friend class SessionTable;
+        struct Access;
+        std::vector<std::shared_ptr<const struct SessionPage>> directory_;
+    };
+    Snapshot snapshot() const;
+
+    template <typename F>
+    void each(F&& f) const {
+        snapshot().each(f);
+    }
+
+  private:
+    friend struct SessionPage;
+    static constexpr std::size_t kSlots = 256, kMost = 217;
+
+    using Page = struct SessionPage;
+
+    static std::uint64_t mix(std::uint64_t k) {  // sessions' keys may be chosen by clients: spread them
+        k ^= k >> 32;
+        k *= 0xd6e8feb86659fd93u;
+        k ^= k >> 32;
+        k *= 0xd6e8feb86659fd93u;
+        return k ^ k >> 32;
+    }
+    std::size_t index(std::uint64_t hash) const {
+        return depth_ == 0 ? 0 : std::size_t(hash >> (64 - depth_));
+    }
+    Page& own(std::size_t at);
+    void split(std::size_t at);
+
+    std::vector<std::shared_ptr<Page>> directory_;  // by the hash's first bits
+    unsigned depth_ = 0;
+    std::size_t size_ = 0;
+};
+
+// One page: linear probing over 256 slots, by the hash's last bits; removal shifts back, so there are no
+// tombstones.
+struct SessionPage {
+    using Entry = SessionTable::Entry;
+    static constexpr std::size_t kSlots = SessionTable::kSlots;
+    std::array<Entry, kSlots> slots{};
+    std::uint32_t count = 0, depth = 0;
+
+    static std::size_t home(std::uint64_t hash) { return std::size_t(hash & (kSlots - 1)); }
+    Entry* find(std::uint64_t key, std::uint64_t hash) {
+        for (std::size_t i = home(hash); slots[i].used; i = (i + 1) & (kSlots - 1))
+            if (slots[i].key == key) return &slots[i];
+        return nullptr;
+    }
+    Entry& insert(std::uint64_t key, std::uint64_t hash) {
+        std::size_t i = home(hash);
+        while (slots[i].used) i = (i + 1) & (kSlots - 1);
+        slots[i] = {};
+        slots[i].key = key;
+        slots[i].used = 1;
+        ++count;
+        return slots[i];
+    }
+    void erase(std::uint64_t key, std::uint64_t hash) {
+        Entry* e = find(key, hash);
+        auto hole = std::size_t(e - slots.data());
+        for (std::size_t i = (hole + 1) & (kSlots - 1); slots[i].used; i = (i + 1) & (kSlots - 1)) {
+            std::size_t from = home(SessionTable::mix(slots[i].key));
+            // It may move into the hole unless its home lies between the hole and itself.
+            if (((i - from) & (kSlots - 1)) >= ((i - hole) & (kSlots - 1))) {
+                slots[hole] = slots[i];
+                hole = i;
+            }
+        }
+        slots[hole] = {};
+        --count;
+    }
+};
+
+inline SessionTable::Page& SessionTable::own(std::size_t at) {
+    std::shared_ptr<Page>& page = directory_[at];
+    std::size_t span = std::size_t(1) << (depth_ - page->depth), first = at / span * span;
+    if (std::size_t(page.use_count()) == span) return *page;
+    auto copy = std::make_shared<Page>(*page);
+    for (std::size_t i = first; i < first + span; ++i) directory_[i] = copy;
+    return *copy;
+}
+
+inline void SessionTable::split(std::size_t at) {
+    std::uint32_t depth = directory_[at]->depth;
+    if (depth == depth_) {
+        std::vector<std::shared_ptr<Page>> twice(directory_.size() * 2);
+        for (std::size_t i = 0; i < twice.size(); ++i) twice[i] = directory_[i / 2];
+        directory_ = std::move(twice);
+        ++depth_;
+        at *= 2;
+    }
+    std::size_t span = std::size_t(1) << (depth_ - depth), first = at / span * span;
+    std::shared_ptr<Page> old = directory_[first];
+    std::shared_ptr<Page> halves[2] = {std::make_shared<Page>(), std::make_shared<Page>()};
+    for (auto& half : halves) half->depth = depth + 1;
+    for (const Entry& e : old->slots) {
+        if (!e.used) continue;
+        std::uint64_t hash = mix(e.key);
+        halves[hash >> (63 - depth) & 1]->insert(e.key, hash) = e;
+    }
+    for (std::size_t i = 0; i < span; ++i) directory_[first + i] = halves[i >= span / 2];
+}
+
+inline SessionTable::Snapshot SessionTable::snapshot() const {
+    Snapshot s;
+    s.directory_.assign(directory_.begin(), directory_.end());
+    return s;
+}
+
+}  // namespace indigovane::store
--- a/tests/open_test.cpp
+++ b/tests/open_test.cpp
@@ -159,6 +159,71 @@
     }
 }
 
+TEST_CASE(
+    "what a file of statements says of classes is checked against the settings, its bounds tighten theirs") {
+    program::Config config;
+    config.settings = settings();
+    config.settings.classes[0].bound = 3s;
+    config.classes = classes();
+    auto take = [&](const char* text) -> std::string {
+        try {
+            program::take_statements(program::parse_statement_config(text, "f"), "f", config);
+        } catch (const program::StatementConfigError& e) {
+            return e.what();
+        }
+        return "";
+    };
+    CHECK(take("[[class]]\nname = \"nobody\"\nkinds = [\"read\"]\n").find("no class 'nobody'") !=
+          std::string::npos);
+    CHECK(take("[statements]\nwrite_class = \"stock-view\"\n").find("is none of writes") !=
+          std::string::npos);
+    CHECK(take("[statements]\nread_class = \"scan-write\"\n").find("is one of writes") != std::string::npos);
+    CHECK(take("[[class]]\nname = \"own-order\"\nbound = \"1s\"\n").find("bounded reads") !=
+          std::string::npos);
+    CHECK(take("[[class]]\nname = \"stock-view\"\nbound = \"5s\"\n") == "");
+    CHECK(config.settings.classes[0].bound == 3s);
+    CHECK(take("[[class]]\nname = \"stock-view\"\nbound = \"2s\"\n") == "");
+    CHECK(config.settings.classes[0].bound == 2s);
+    config.members = program::Wire::rest;
+    CHECK(take("[statements]\nopen = true\n").find("members that speak REST") != std::string::npos);
+}
+
+TEST_CASE(
+    "rules read again while requests wait and are in hand: those keep their class, the next has the new") {
+    auto limited = limits::Settings{};
+    limited.enabled = true, limited.trial = 1, limited.wait = 10s;
+    Rig rig(limited);
+    for (Host& host : rig.d.hosts) host.takes = {{"SELECT a", 30ms}};
+    PgClient one(rig.d.loop, rig.d.pg.local()), two(rig.d.loop, rig.d.pg.local());
+    one.send(pg::Writer().query("SELECT a FROM t").take());
+    two.send(pg::Writer().query("SELECT a FROM t").take());
+    REQUIRE(rig.d.loop.until([&] { return rig.d.limited->limiter().waiting() == 1; }));
+    auto c = program::parse_statement_config(
+        "[statements]\nopen = true\ngroup = 3\nwrite_class = \"log\"\n[[relation]]\nname = \"t\"\n", "t");
+    rig.judged.set(std::move(c.rules), {c.open, c.group, c.read_class, c.primary_class, c.write_class});
+    limited.work = 1ms;
+    rig.d.limited->set(limited);
+    CHECK(one.reply() == "TDDCZ");
+    CHECK(two.reply() == "TDDCZ");
+    CHECK(rig.d.replica_queries() == 2);
+    CHECK(one.ask("SELECT a FROM t") == "TDDCZ");
+    CHECK(rig.d.hosts[0].queries == 1);  // a relation with effects now
+}
+
+TEST_CASE("a connection that goes to another process keeps its user, and so its share") {
+    Rig rig(limits::Settings{});
+    auto client = std::make_unique<PgClient>(rig.d.loop, rig.d.pg.local(), "rance");
+    std::vector<routing::ClientParcel> parcels;
+    REQUIRE(rig.d.loop.until([&] {
+        rig.d.pg.hand_over([&](routing::ClientParcel p) { parcels.push_back(std::move(p)); });
+        return !parcels.empty();
+    }));
+    CHECK(parcels[0].note == "rance");
+    rig.d.pg.take_over(std::move(parcels[0]));
+    CHECK(client->ask("SELECT a FROM t") == "TDDCZ");
+    CHECK(rig.d.limited->limiter().top(1, limits::Time::max())[0].tenant == "rance");
+}
+
 limits::Settings by_cost() {
     limits::Settings s;
     s.enabled = true;
--- a/tests/program_test.sh
+++ b/tests/program_test.sh
@@ -55,7 +55,18 @@
 
 export TMPDIR="$work/scratch"
 mkdir "$TMPDIR"
-"$program" serve --config "$work/config.json" --rest "$work/rest.json" > "$work/log" 2>&1 &
+cat > "$work/statements.toml" <<'T'
+[statements]
+open = true
+[limits]
+enabled = true
+T
+expect 0 "statements open" "$program" check-config --config "$work/config.json" --statements "$work/statements.toml"
+expect 0 "limits     off" "$program" check-config --config "$work/config.json"
+expect 0 "route     replica" "$program" shapes explain --rules "$here/deploy/statements.toml" "SELECT 1"
+printf '[statements]\nread_class = "nobody"\n' > "$work/other.toml"
+expect 1 "no class 'nobody'" "$program" check-config --config "$work/config.json" --statements "$work/other.toml"
+"$program" serve --config "$work/config.json" --rest "$work/rest.json" --statements "$work/statements.toml" > "$work/log" 2>&1 &
 pid=$!
 for _ in $(seq 400); do grep -q "phase.*serving" "$work/log" && break; sleep 0.05; done
 grep -q "phase.*serving" "$work/log" || fail "it never served"
@@ -85,6 +96,8 @@
 call "set-down s-1" "+OK"
 call "set-up s-1" "+OK"
 grep -q s-1 "$TMPDIR/t1.down" && fail "what is put back is still stored"
+call shapes "+OK ["
+call "shapes many" "-ERR"
 call drain-on "+OK"
 call check "-ERR"
 said 'phase.*away'
@@ -97,6 +110,11 @@
 echo '{"listen":' > "$work/config.json"
 kill -HUP $pid
 said 'reload.*kept="the old configuration"'
+cp "$work/first.json" "$work/config.json"
+printf '[limits]\nwait = 2\n' > "$work/statements.toml"
+kill -HUP $pid
+said 'statements.toml:2:8: wait'
+printf '[statements]\nopen = true\n[limits]\nenabled = true\nwork = "1s"\n' > "$work/statements.toml"
 sed 's/,"worth":1.0//' "$work/first.json" > "$work/config.json"
 kill -HUP $pid
 said "'settings.classes\\[\\].worth' is missing"
@@ -107,7 +125,7 @@
 said 'take effect at the next start'
 said 'phase.*reloading'
 # A second process beside it: it inherits the listener, and the first ends once its clients have gone over.
-"$program" serve --config "$work/config.json" --rest "$work/rest.json" > "$work/log2" 2>&1 &
+"$program" serve --config "$work/config.json" --rest "$work/rest.json" --statements "$work/statements.toml" > "$work/log2" 2>&1 &
 heir=$!
 for _ in $(seq 400); do grep -q "phase.*serving" "$work/log2" && break; sleep 0.05; done
 grep -q "phase.*inheriting" "$work/log2" || fail "the second process found no first one"
