Store: log, recovery, index, session floor, commands and wiring

Need: after a crash a pooler forgot its sessions' writes, who was taken out, and discovery's last list.

Sessions' table is seeded: clients choose its keys.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 # The module and what came with it keep their own layout.
 OWN_SOURCES = $(filter-out src/brain.cpp src/wire/% tests/brain_test.cpp tests/wire_test.cpp tests/link_example.cpp, $(SOURCES))
 
-.PHONY: setup build test sanitize bench crowding fuzz lint format run clean
+.PHONY: setup build test sanitize bench crowding torture fuzz lint format run clean
 
 # Installs every package that packages.txt lists.
 setup:
@@ -29,9 +29,10 @@
 # Prints what each part costs; the machine should have nothing else to do.
 bench:
 	cmake -S . -B build-bench -DCMAKE_BUILD_TYPE=Release -DINDIGOVANE_BENCH=ON
-	cmake --build build-bench -j$(JOBS) --target statement_bench added_bench
+	cmake --build build-bench -j$(JOBS) --target statement_bench added_bench store_bench
 	build-bench/bench/statement_bench
 	build-bench/bench/added_bench
+	build-bench/bench/store_bench
 
 # Beside a costly shape at five times its share: own-order reads within 200 ms, limits off and on.
 crowding:
@@ -39,16 +40,23 @@
 	cmake --build build-test -j$(JOBS) --target open_test
 	build-test/tests/open_test --no-skip --test-case="crowding*" --success=false
 
+# Every byte of a store of some megabytes, damaged in three ways, on all cores: minutes.
+torture:
+	cmake -S . -B build-test -DCMAKE_BUILD_TYPE=Release -DSTARLINGPOND_TESTS=ON -DSTARLINGPOND_STRICT=ON
+	cmake --build build-test -j$(JOBS) --target store_torture
+	build-test/tests/store_torture
+
 # SECONDS=60 a target; what it finds new is kept under build-fuzz.
 SECONDS ?= 60
 fuzz:
 	cmake -S . -B build-fuzz -DCMAKE_BUILD_TYPE=RelWithDebInfo -DINDIGOVANE_FUZZ=ON -DCMAKE_CXX_COMPILER=clang++ \
 	    -DCMAKE_CXX_FLAGS="-fsanitize=fuzzer-no-link,address,undefined -fno-sanitize-recover=all"
-	cmake --build build-fuzz -j$(JOBS) --target scanner_fuzz classifier_fuzz
+	cmake --build build-fuzz -j$(JOBS) --target scanner_fuzz classifier_fuzz store_fuzz
 	mkdir -p build-fuzz/corpus
 	awk -F'\t' '!/^#/ {print $$3 > ("build-fuzz/corpus/s" NR)}' tests/corpus/statements.tsv
 	build-fuzz/fuzz/scanner_fuzz -max_total_time=$(SECONDS) -max_len=4096 build-fuzz/corpus fuzz/seeds
 	build-fuzz/fuzz/classifier_fuzz -max_total_time=$(SECONDS) -max_len=1024 build-fuzz/corpus fuzz/seeds
+	build-fuzz/fuzz/store_fuzz -max_total_time=$(SECONDS) -max_len=4096
 
 lint:
 	clang-format --dry-run --Werror $(OWN_SOURCES)
--- a/src/adapters/control_front.cpp
+++ b/src/adapters/control_front.cpp
@@ -26,13 +26,20 @@
         });
     }
     void on_data(transport::Buffer& in) override {
+        if (asked_) return;  // its answer is on its way
         std::string_view text = in.view();
         std::size_t end = text.find('\n');
         if (std::min(end, text.size()) > front_.limits_.line) return finish("-ERR the line is too long");
         if (end == std::string_view::npos) return;
         std::string_view line = text.substr(0, end);
         if (!line.empty() && line.back() == '\r') line.remove_suffix(1);
-        finish(front_.answer(line));
+        Operations::Reply reply = front_.answer(line);
+        std::string head = reply.ok ? "+OK " : "-ERR ";
+        if (!reply.later) return finish(head + reply.text);
+        asked_ = true;
+        reply.later([weak = weak_from_this(), head](std::string text) {
+            if (auto self = weak.lock()) self->finish(head + text);
+        });
     }
     void on_closed(const transport::error_code&) override { finish({}); }
     // An empty answer: there is nobody to read one.
@@ -55,7 +62,7 @@
     std::uint64_t number_;
     std::shared_ptr<transport::Connection> connection_;
     boost::asio::steady_timer timer_;
-    bool over_ = false;
+    bool over_ = false, asked_ = false;
 };
 
 ControlFront::ControlFront(boost::asio::io_context& io, const transport::Endpoint& at, ControlLimits limits,
@@ -93,7 +100,7 @@
     return std::size_t(lingering_.use_count()) <= limits_.lingering ? lingering_ : nullptr;
 }
 
-std::string ControlFront::answer(std::string_view line) {
+Operations::Reply ControlFront::answer(std::string_view line) {
     std::size_t space = line.find(' ');
     std::string_view call = line.substr(0, space);
     std::string argument(space == std::string_view::npos ? std::string_view{} : line.substr(space + 1));
@@ -117,7 +124,7 @@
         logger_.log(routing::Level::notice, "control", reply.text,
                     {{"call", printable}, {"ok", reply.ok ? "yes" : "no"}});
     }
-    return std::string(reply.ok ? "+OK " : "-ERR ") + reply.text;
+    return reply;
 }
 
 }  // namespace indigovane::adapters
--- a/src/adapters/control_front.hpp
+++ b/src/adapters/control_front.hpp
@@ -1,6 +1,7 @@
 // The operators' address: one line a connection, answered by one line that begins with +OK or -ERR.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -16,6 +17,8 @@
     struct Reply {
         bool ok = false;
         std::string text;
+        // Set: the call is answered once this calls back, with what it then says.
+        std::function<void(std::function<void(std::string text)>)> later = {};
     };
     virtual Reply check() = 0;
     virtual Reply set_down(const std::string& uid) = 0;
@@ -52,7 +55,7 @@
     void take(boost::asio::ip::tcp::socket socket);
     void leave(std::uint64_t number);
     std::shared_ptr<void> linger() const;
-    std::string answer(std::string_view line);
+    Operations::Reply answer(std::string_view line);
 
     boost::asio::io_context& io_;
     ControlLimits limits_;
--- a/src/program/config.hpp
+++ b/src/program/config.hpp
@@ -9,6 +9,7 @@
 
 #include "adapters/classes.hpp"
 #include "program/statement_rules.hpp"
+#include "program/store_config.hpp"
 #include "routing/catalog.hpp"
 #include "routing/core.hpp"
 #include "starlingpond/brain.hpp"
@@ -45,6 +46,7 @@
                       longest_deadline{};
     Wire members = Wire::pg;  // how members are spoken to
     RestConfig rest;
+    std::optional<StoreConfig> store;           // none: nothing outlasts the process
     std::optional<StatementConfig> statements;  // none: the package is off
     // The keys that the file holds, by path, with the type of each: a file read again must hold them all.
     std::map<std::string, char> shape;
--- a/src/program/lifecycle.cpp
+++ b/src/program/lifecycle.cpp
@@ -121,8 +121,18 @@
     catalog_ = std::make_unique<Catalog>(
         io_, config_.discovery, config_.zones, *core_, log_,
         asked ? Catalog::shared(config_.settings.fleet_size.value_or(1)) : Catalog::Timing{}, config_.seed);
+    if (config_.store) open_store();
     core_->lay_over(taken_out_.uids());
     catalog_->seed(config_.known);
+    if (auto last = keeper_ ? keeper_->last_list(config_.known.revision) : std::nullopt) {
+        // Newer than what the configuration knows; it may be old, as that may.
+        MemberList list = read_member_list(nlohmann::json::parse(*last), config_.zones);
+        catalog_->seed(list);
+        log_.log(
+            Level::notice, "store", "discovery's list of the last process",
+            {{"revision", std::to_string(list.revision)}, {"members", std::to_string(list.members.size())}});
+    }
+    if (keeper_) catalog_->on_list([this](std::int64_t revision) { keep_list(revision); });
     watch_taken_out();
     if (asked)
         core_->on_follow_list([this] { catalog_->follow(); });
@@ -141,7 +151,10 @@
         syslog_ = std::make_unique<adapters::SyslogSink>(io_, *config_.rest.syslog);
         log_.also([this](const std::string& line) { syslog_->send(line); });
     }
-    core_->on_commit([this](std::uint64_t session, Time commit) { succession_.commit(session, commit); });
+    core_->on_commit([this](std::uint64_t session, Time commit) {
+        if (keeper_) keeper_->commit(session, commit);
+        succession_.commit(session, commit);
+    });
     started_ = clock_.now();
     if (succession_.ask())
         enter(Phase::inheriting);
@@ -195,6 +208,7 @@
         io_.run_one();
         io_.poll();
         core_->run_batch();
+        if (keeper_) keeper_->carry();
         if (phase_ == Phase::inheriting && may_open_fronts()) open_fronts();
         if (phase_ == Phase::reloading && catalog_->told()) enter(Phase::serving);
         if (phase_ == Phase::handing_over) hand_over();
@@ -287,6 +301,34 @@
     return *core_;
 }
 
+// Before anything is served: a store that can't be used ends the start, rather than have operators believe in
+// it.
+void Lifecycle::open_store() {
+    keeper_ = std::make_unique<StoreKeeper>(io_, clock_, *config_.store, scratch_folder(), config_.name,
+                                            *core_, log_);
+    keeper_->open(true);
+    core_->on_write([this](std::uint64_t session, bool begins) {
+        begins ? keeper_->begun(session) : keeper_->ended(session);
+    });
+    // What the machine has lost, the store still has.
+    if (!taken_out_.stored())
+        for (const std::string& uid : keeper_->taken_out()) taken_out_.change(uid, true);
+}
+
+void Lifecycle::keep_list(std::int64_t revision) {
+    nlohmann::json targets = nlohmann::json::array();
+    for (const MemberInfo& m : core_->listed()) {
+        nlohmann::json t{
+            {"uid", m.uid}, {"endpoint", m.endpoint}, {"pod_group", m.group}, {"boot_ms", m.boot_unix_ms}};
+        t["state"] = m.state == starlingpond::MemberState::ready ? "ready" : "draining";
+        t["recovery"] = m.primary ? "off" : "on";
+        if (m.zone < config_.zones.size()) t["az"] = config_.zones[m.zone];
+        targets.push_back(std::move(t));
+    }
+    nlohmann::json list{{"rev", revision}, {"all", true}, {"targets", std::move(targets)}};
+    keeper_->list(list.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace), revision);
+}
+
 void Lifecycle::watch_taken_out() {
     taken_out_timer_.expires_after(kTakenOutEvery);
     taken_out_timer_.async_wait([this](const boost::system::error_code& ec) {
@@ -313,7 +355,15 @@
         return {false, error.what()};
     }
     core_->lay_over(taken_out_.uids());
-    return {true, out ? "taken out" : "in use"};
+    Reply reply{true, out ? "taken out" : "in use", {}};
+    if (keeper_ && keeper_->is_open())
+        reply.later = [this, text = reply.text](std::function<void(std::string)> answer) {
+            keeper_->hosts(taken_out_.uids(), core_->put_back(),
+                           [text, answer = std::move(answer)](bool on_disk) {
+                               answer(on_disk ? text : text + " (not on disk: see the log)");
+                           });
+        };
+    return reply;
 }
 
 Lifecycle::Reply Lifecycle::drain(bool on) {
@@ -406,6 +456,9 @@
     drain_until_ =
         clock_.now() + std::max<Duration>(config_.longest_deadline, std::chrono::seconds(3)) + kDrainSlack;
     for (auto& front : fronts_) front->stop_accepting();
+    // The heir can open it from now on. What is still acknowledged here is told to the heir, which writes it
+    // down.
+    if (keeper_) keeper_->close();
     enter(Phase::handing_over);
 }
 
@@ -448,6 +501,7 @@
     for (auto& front : fronts_) empty = empty && front->connections() == 0;
     if (phase_ == Phase::handing_over) empty = empty && succession_.all_sent();
     if (empty || clock_.now() >= drain_until_) {
+        if (keeper_ && keeper_->is_open()) keeper_->close();
         enter(Phase::stopped);
         return;
     }
--- a/src/program/lifecycle.hpp
+++ b/src/program/lifecycle.hpp
@@ -14,6 +14,7 @@
 #include "adapters/syslog_sink.hpp"
 #include "program/config.hpp"
 #include "program/log.hpp"
+#include "program/store_keeper.hpp"
 #include "program/succession.hpp"
 #include "program/taken_out.hpp"
 #include "routing/catalog.hpp"
@@ -57,6 +58,8 @@
     routing::Intake& intake();
     void check_drained();
     void watch_taken_out();
+    void open_store();
+    void keep_list(std::int64_t revision);
     void open_fronts();
     bool may_open_fronts() const;
     void hand_over();
@@ -66,7 +69,10 @@
     starlingpond::Tokens tokens() override { return core_->tokens(); }
     std::map<std::string, Time> put_back() override { return core_->put_back(); }
     void inherit_socket(const std::string& front, transport::Descriptor socket) override;
-    void inherit_tokens(starlingpond::Tokens tokens) override { core_->take_over(std::move(tokens)); }
+    void inherit_tokens(starlingpond::Tokens tokens) override {
+        if (keeper_) keeper_->inherit(tokens);
+        core_->take_over(std::move(tokens));
+    }
     void inherit_put_back(const std::string& uid, Time at) override { core_->take_over_put_back(uid, at); }
     void inherit_client(const std::string& front, routing::ClientParcel parcel) override;
     void on_company() override;
@@ -89,6 +95,7 @@
     std::unique_ptr<routing::Backend> backend_;
     std::unique_ptr<routing::Core> core_;
     std::unique_ptr<routing::Catalog> catalog_;
+    std::unique_ptr<StoreKeeper> keeper_;               // none: nothing outlasts the process
     std::unique_ptr<adapters::Statements> statements_;  // none: off
     std::unique_ptr<adapters::LimitedIntake> limited_;  // none: no limits by cost
     std::vector<std::unique_ptr<routing::Front>> fronts_;
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -8,6 +8,7 @@
 
 #include "program/lifecycle.hpp"
 #include "program/shapes_command.hpp"
+#include "program/store_command.hpp"
 
 namespace {
 
@@ -20,6 +21,7 @@
     "  serve         serve clients until SIGTERM; SIGHUP reads the configuration again\n"
     "  check-config  read the configuration, say what it means, and exit\n"
     "  shapes        classify statements from standard input, or explain one\n"
+    "  store         look at a store on disk: dump, stat, verify, compact, load, get\n"
     "  version       print the version\n"
     "  help          print this\n"
     "\n";
@@ -37,7 +39,9 @@
         "rest", options::value<std::string>(),
         "the REST front's configuration; without it that front is off")(
         "statements", options::value<std::string>(),
-        "the operator's file of statements and limits; without it both are off");
+        "the operator's file of statements and limits; without it both are off")(
+        "store", options::value<std::string>(),
+        "the operator's file of the store; without it nothing outlasts the process");
     options::variables_map values;
     options::store(options::command_line_parser(arguments).options(described).run(), values);
     options::notify(values);
@@ -45,6 +49,7 @@
     if (path.empty()) throw UsageError("no configuration: give --config FILE or set LB_CONFIG");
     program::Config config = program::read_platform_config(path);
     if (values.count("rest")) program::read_rest_config(values["rest"].as<std::string>(), config);
+    if (values.count("store")) config.store = program::read_store_config(values["store"].as<std::string>());
     if (values.count("statements")) program::read_statements(values["statements"].as<std::string>(), config);
     return config;
 }
@@ -71,6 +76,8 @@
               << (!config.statements        ? "off"
                   : config.statements->open ? "open"
                                             : "known forms only")
+              << "\nstore      " << (config.store ? config.store->folder : "off")
+              << (config.store && config.store->in_memory ? " (warning: it is in memory)" : "")
               << "\nlimits     " << (config.statements && config.statements->limits.enabled ? "on" : "off")
               << "\n";
     return 0;
@@ -86,6 +93,7 @@
         if (command == "serve") return serve(arguments);
         if (command == "check-config") return check(arguments);
         if (command == "shapes") return program::shapes(arguments, std::cin, std::cout);
+        if (command == "store") return program::store(arguments, std::cin, std::cout, std::cerr);
         if (command == "version" || command == "--version") {
             std::cout << "indigovane " INDIGOVANE_VERSION "\n";
             return 0;
--- a/src/program/statement_rules.hpp
+++ b/src/program/statement_rules.hpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "limits/types.hpp"
+#include "program/units.hpp"
 #include "statement/judge.hpp"
 
 namespace indigovane::program {
@@ -21,17 +22,9 @@
     std::string read_class, primary_class, write_class;
 };
 
-// One mistake a line: "file:line:column: what is wrong".
-struct StatementConfigError : std::runtime_error {
-    using std::runtime_error::runtime_error;
-};
+using StatementConfigError = FileError;
 
 StatementConfig parse_statement_config(const std::string& text, const std::string& file);
 StatementConfig read_statement_config(const std::string& path);
 
-// With a unit: "250ms", "2s", "1m"; "8MiB", "64KiB", "512B"; "25%". Nothing: it is none.
-std::optional<limits::Duration> read_duration(std::string_view text);
-std::optional<std::size_t> read_size(std::string_view text);
-std::optional<double> read_percentage(std::string_view text);
-
 }  // namespace indigovane::program
--- a/src/program/taken_out.cpp
+++ b/src/program/taken_out.cpp
@@ -53,6 +53,10 @@
     return changed;
 }
 
+bool TakenOut::stored() const {
+    return !path_.empty() && ::access(path_.c_str(), F_OK) == 0;
+}
+
 bool TakenOut::refresh() {
     return !path_.empty() && identity(path_) != seen_ && load();
 }
--- a/src/program/taken_out.hpp
+++ b/src/program/taken_out.hpp
@@ -16,7 +16,8 @@
     // Changes what is stored, by whichever process, and takes that in. Stored when it returns; throws
     // std::runtime_error where it can't be, and has changed nothing then.
     void change(const std::string& uid, bool out);
-    bool refresh();  // takes in what another process has stored; whether that has changed the set
+    bool stored() const;  // this machine's scratch knows of some set, even an empty one
+    bool refresh();       // takes in what another process has stored; whether that has changed the set
 
   private:
     bool load();
--- a/src/routing/catalog.cpp
+++ b/src/routing/catalog.cpp
@@ -167,6 +167,7 @@
         revision_ = list.revision;
         told_ = watching_ = true;
         backoff_ = {};
+        if (heard_ && (list.all || !list.members.empty() || first)) heard_(list.revision);
     } catch (const std::exception& error) {
         revision_.reset();
         return lost(error.what());
--- a/src/routing/catalog.hpp
+++ b/src/routing/catalog.hpp
@@ -55,6 +55,8 @@
     // list has come the members are those last told; called again before that, only the last address counts.
     void move_to(const transport::Endpoint& at);
     void set_zones(std::vector<std::string> zones) { zones_ = std::move(zones); }
+    // Called after each list or change that is taken, with its revision.
+    void on_list(std::function<void(std::int64_t revision)> hear) { heard_ = std::move(hear); }
     bool told() const { return told_; }  // the address of now has told its whole list
 
   private:
@@ -82,6 +84,7 @@
     std::minstd_rand random_;
     bool watching_ = false;                 // the last call was answered: the next goes on from it
     std::optional<std::int64_t> revision_;  // none: the whole list comes next
+    std::function<void(std::int64_t)> heard_;
     bool following_ = false, called_ = false, told_ = false;
 };
 
--- a/src/routing/core.cpp
+++ b/src/routing/core.cpp
@@ -61,6 +61,7 @@
     entry.bytes = item.statement.size() + item.name.size() + (item.content ? item.content->size() : 0);
     held_bytes_ += entry.bytes;
     open_ids_.insert(item.id);
+    if (write_ && item.session && item.writes()) write_(*item.session, true);
     entry.item = std::move(item);
     entry.responder = &responder;
     inbox_.push_back(q);
@@ -165,6 +166,13 @@
     wake();
 }
 
+std::vector<MemberInfo> Core::listed() const {
+    std::vector<MemberInfo> out;
+    for (const auto& [id, m] : members_)
+        if (!m.left) out.push_back(m.info);
+    return out;
+}
+
 void Core::leave(Member& m) {
     m.refused_new = true;
     m.pool->close_idle(Time::max());
@@ -447,6 +455,8 @@
     auto it = entries_.find(id);
     if (it == entries_.end() || it->second.responder || it->second.out() || it->second.over) return;
     it->second.over = true;
+    if (const Item& item = it->second.item; write_ && item.session && item.writes())
+        write_(*item.session, false);
     open_ids_.erase(it->second.item.id);
     done_.push_back(id);
 }
--- a/src/routing/core.hpp
+++ b/src/routing/core.hpp
@@ -49,6 +49,9 @@
     void on_commit(std::function<void(std::uint64_t session, Time commit)> hear) {
         commit_ = std::move(hear);
     }
+    // A write of a session has been taken in, and is over: all of it, whatever became of it.
+    void on_write(std::function<void(std::uint64_t session, bool begins)> hear) { write_ = std::move(hear); }
+    std::vector<MemberInfo> listed() const;            // members as the list has them now
     void limit(std::size_t links, std::size_t bytes);  // from now on
     void list(starlingpond::ListKind kind, const std::vector<MemberInfo>& members);
     // These uids are out: whatever list names them, they drain. One that is put back counts as started now,
@@ -144,6 +147,7 @@
     starlingpond::Brain brain_;
     std::function<void()> follow_;
     std::function<void(std::uint64_t, Time)> commit_;
+    std::function<void(std::uint64_t, bool)> write_;
     std::vector<starlingpond::Event> inbox_;
     std::unordered_map<RequestId, Entry> entries_;
     std::unordered_set<std::string> open_ids_;  // as clients name them: owed an answer, or out
--- /dev/null
+++ b/src/store/carrier.cpp
@@ -0,0 +1,141 @@
+#include "store/carrier.hpp"
+
+#include <algorithm>
+#include <cerrno>
+
+namespace indigovane::store {
+
+namespace {
+constexpr std::size_t kChunk = 64 * 1024, kGroup = 1 << 20;
+}
+
+Status Carrier::begin(const Recovered& recovered, std::uint64_t new_store_number) {
+    return writer_.begin(recovered, new_store_number);
+}
+
+void Carrier::give_up(const Status& status, std::uint64_t now_ms, std::vector<News>& news) {
+    failing_ = true;
+    able_told_ = chunk_out_ = false;
+    retry_after_ = std::min(options_.retry_most_ms, std::max(options_.retry_ms, retry_after_ * 2));
+    retry_at_ = now_ms + retry_after_;
+    News n;
+    n.kind = News::Kind::failing;
+    n.text = status.text();
+    news.push_back(std::move(n));
+}
+
+void Carrier::carry(std::vector<Order>&& orders, std::uint64_t live, std::uint64_t now_ms,
+                    std::vector<News>& news) {
+    std::vector<Batch> group;
+    std::uint64_t ticket = 0, bytes = 0;
+    auto flush = [&] {
+        if (failing_ || group.empty()) {
+            group.clear();
+            return;
+        }
+        Status s =
+            writer_.bytes() > options_.budget ? Status{ENOSPC, "the store's budget"} : writer_.write(group);
+        group.clear();
+        bytes = 0;
+        if (!s.ok()) return give_up(s, now_ms, news);
+        // Before a generation is switched over to, nothing of it counts as on disk.
+        if (writer_.pending()) return;
+        News n;
+        n.ticket = ticket;
+        n.bytes = writer_.bytes();
+        news.push_back(std::move(n));
+    };
+    for (Order& o : orders) {
+        if (failing_ && !(o.kind == Order::Kind::generation && able_told_) && o.kind != Order::Kind::close)
+            continue;
+        switch (o.kind) {
+            case Order::Kind::batch:
+                for (const Record& r : o.batch.records) bytes += cost(r.key.size(), r.value.size());
+                next_sequence_ = o.batch.sequence + o.batch.records.size();
+                group.push_back(std::move(o.batch));
+                ticket = o.ticket;
+                if (bytes >= kGroup) flush();
+                break;
+            case Order::Kind::compacted: {
+                flush();
+                chunk_out_ = false;
+                if (failing_) break;
+                if (Status s = writer_.drop_oldest(); !s.ok()) {
+                    if (writer_.broken()) give_up(s, now_ms, news);
+                    compact_at_ = now_ms + 1000;
+                }
+                break;
+            }
+            case Order::Kind::generation: {
+                flush();
+                able_told_ = false;
+                failing_ = false;
+                chunk_out_ = false;
+                if (Status s = writer_.restart(o.batch.sequence); !s.ok()) give_up(s, now_ms, news);
+                break;
+            }
+            case Order::Kind::complete: {
+                flush();
+                if (failing_) break;
+                if (Status s = writer_.switch_over(); !s.ok()) {
+                    give_up(s, now_ms, news);
+                    break;
+                }
+                retry_after_ = 0;
+                News n;
+                n.ticket = o.ticket;
+                n.bytes = writer_.bytes();
+                news.push_back(std::move(n));
+                break;
+            }
+            case Order::Kind::close:
+                flush();
+                closed_ = true;
+                break;
+        }
+    }
+    flush();
+    compact(live, now_ms, news);
+}
+
+void Carrier::compact(std::uint64_t live, std::uint64_t now_ms, std::vector<News>& news) {
+    if (failing_ || chunk_out_ || closed_ || now_ms < compact_at_) return;
+    // Frames' heads are not counted as live: a fifth more allows for them.
+    if (double(writer_.bytes()) <=
+        options_.amplification * 1.2 * double(live) + 2.0 * double(options_.writer.segment))
+        return;
+    Status status;
+    auto chunk = writer_.read_oldest(kChunk, status);
+    if (!status.ok()) {
+        News n;
+        n.kind = News::Kind::trouble;
+        n.text = "compaction: " + status.text();
+        news.push_back(std::move(n));
+        compact_at_ = now_ms + 10000;
+        return;
+    }
+    if (!chunk) return;
+    compact_at_ = now_ms + kChunk * 1000 / options_.compact_per_second;
+    chunk_out_ = chunk->last;  // the next segment only once this one is gone
+    News n;
+    n.kind = News::Kind::chunk;
+    n.chunk = std::move(*chunk);
+    news.push_back(std::move(n));
+}
+
+std::uint64_t Carrier::tick(std::uint64_t live, std::uint64_t now_ms, std::vector<News>& news) {
+    if (closed_) return 1000;
+    if (failing_) {
+        if (able_told_) return 1000;
+        if (now_ms < retry_at_) return retry_at_ - now_ms;
+        able_told_ = true;
+        News n;
+        n.kind = News::Kind::able;
+        news.push_back(std::move(n));
+        return 1000;
+    }
+    compact(live, now_ms, news);
+    return now_ms < compact_at_ ? std::max<std::uint64_t>(1, compact_at_ - now_ms) : 1000;
+}
+
+}  // namespace indigovane::store
--- a/src/store/session_table.hpp
+++ b/src/store/session_table.hpp
@@ -12,15 +12,70 @@
 
 namespace indigovane::store {
 
+struct SessionEntry {
+    std::uint64_t key = 0, value = 0, sequence = 0;
+    std::uint32_t expires_s = 0;        // Unix; 0: never
+    std::uint16_t used = 0, timed = 0;  // timed: the wheel holds it
+};
+
+// One page: linear probing over 256 slots, by the hash's last bits; removal shifts back, so there are no
+// tombstones.
+struct SessionPage {
+    using Entry = SessionEntry;
+    static constexpr std::size_t kSlots = 256;
+    std::array<Entry, kSlots> slots{};
+    std::uint32_t count = 0, depth = 0;
+    std::uint64_t seed = 0;
+
+    // Clients choose sessions' keys: without a seed that they don't know they could fill one page for ever,
+    // and each split would double the directory.
+    static std::uint64_t mix(std::uint64_t k, std::uint64_t seed) {
+        k ^= seed;
+        k ^= k >> 32;
+        k *= 0xd6e8feb86659fd93u;
+        k ^= k >> 32;
+        k += seed;
+        k *= 0xd6e8feb86659fd93u;
+        return k ^ k >> 32;
+    }
+    static std::size_t home(std::uint64_t hash) { return std::size_t(hash & (kSlots - 1)); }
+    Entry* find(std::uint64_t key, std::uint64_t hash) {
+        for (std::size_t i = home(hash); slots[i].used; i = (i + 1) & (kSlots - 1))
+            if (slots[i].key == key) return &slots[i];
+        return nullptr;
+    }
+    Entry& insert(std::uint64_t key, std::uint64_t hash) {
+        std::size_t i = home(hash);
+        while (slots[i].used) i = (i + 1) & (kSlots - 1);
+        slots[i] = {};
+        slots[i].key = key;
+        slots[i].used = 1;
+        ++count;
+        return slots[i];
+    }
+    void erase(std::uint64_t key, std::uint64_t hash) {
+        Entry* e = find(key, hash);
+        auto hole = std::size_t(e - slots.data());
+        for (std::size_t i = (hole + 1) & (kSlots - 1); slots[i].used; i = (i + 1) & (kSlots - 1)) {
+            std::size_t from = home(mix(slots[i].key, seed));
+            // It may move into the hole unless its home lies between the hole and itself.
+            if (((i - from) & (kSlots - 1)) >= ((i - hole) & (kSlots - 1))) {
+                slots[hole] = slots[i];
+                hole = i;
+            }
+        }
+        slots[hole] = {};
+        --count;
+    }
+};
+
 class SessionTable {
   public:
-    struct Entry {
-        std::uint64_t key = 0, value = 0, sequence = 0;
-        std::uint32_t expires_s = 0;        // Unix; 0: never
-        std::uint16_t used = 0, timed = 0;  // timed: the wheel holds it
-    };
+    using Entry = SessionEntry;
 
-    SessionTable() : directory_(1, std::make_shared<Page>()) {}
+    explicit SessionTable(std::uint64_t seed = 0) : directory_(1, std::make_shared<Page>()), seed_(seed) {
+        directory_[0]->seed = seed;
+    }
 
     const Entry* find(std::uint64_t key) const { return directory_[index(mix(key))]->find(key, mix(key)); }
 
@@ -70,7 +125,7 @@
       private:
         friend class SessionTable;
         struct Access;
-        std::vector<std::shared_ptr<const struct SessionPage>> directory_;
+        std::vector<std::shared_ptr<const SessionPage>> directory_;
     };
     Snapshot snapshot() const;
 
@@ -80,18 +135,10 @@
     }
 
   private:
-    friend struct SessionPage;
-    static constexpr std::size_t kSlots = 256, kMost = 217;
-
-    using Page = struct SessionPage;
+    using Page = SessionPage;
+    static constexpr std::size_t kMost = 217;
+    std::uint64_t mix(std::uint64_t key) const { return SessionPage::mix(key, seed_); }
 
-    static std::uint64_t mix(std::uint64_t k) {  // sessions' keys may be chosen by clients: spread them
-        k ^= k >> 32;
-        k *= 0xd6e8feb86659fd93u;
-        k ^= k >> 32;
-        k *= 0xd6e8feb86659fd93u;
-        return k ^ k >> 32;
-    }
     std::size_t index(std::uint64_t hash) const {
         return depth_ == 0 ? 0 : std::size_t(hash >> (64 - depth_));
     }
@@ -99,49 +146,11 @@
     void split(std::size_t at);
 
     std::vector<std::shared_ptr<Page>> directory_;  // by the hash's first bits
+    std::uint64_t seed_;
     unsigned depth_ = 0;
     std::size_t size_ = 0;
 };
 
-// One page: linear probing over 256 slots, by the hash's last bits; removal shifts back, so there are no
-// tombstones.
-struct SessionPage {
-    using Entry = SessionTable::Entry;
-    static constexpr std::size_t kSlots = SessionTable::kSlots;
-    std::array<Entry, kSlots> slots{};
-    std::uint32_t count = 0, depth = 0;
-
-    static std::size_t home(std::uint64_t hash) { return std::size_t(hash & (kSlots - 1)); }
-    Entry* find(std::uint64_t key, std::uint64_t hash) {
-        for (std::size_t i = home(hash); slots[i].used; i = (i + 1) & (kSlots - 1))
-            if (slots[i].key == key) return &slots[i];
-        return nullptr;
-    }
-    Entry& insert(std::uint64_t key, std::uint64_t hash) {
-        std::size_t i = home(hash);
-        while (slots[i].used) i = (i + 1) & (kSlots - 1);
-        slots[i] = {};
-        slots[i].key = key;
-        slots[i].used = 1;
-        ++count;
-        return slots[i];
-    }
-    void erase(std::uint64_t key, std::uint64_t hash) {
-        Entry* e = find(key, hash);
-        auto hole = std::size_t(e - slots.data());
-        for (std::size_t i = (hole + 1) & (kSlots - 1); slots[i].used; i = (i + 1) & (kSlots - 1)) {
-            std::size_t from = home(SessionTable::mix(slots[i].key));
-            // It may move into the hole unless its home lies between the hole and itself.
-            if (((i - from) & (kSlots - 1)) >= ((i - hole) & (kSlots - 1))) {
-                slots[hole] = slots[i];
-                hole = i;
-            }
-        }
-        slots[hole] = {};
-        --count;
-    }
-};
-
 inline SessionTable::Page& SessionTable::own(std::size_t at) {
     std::shared_ptr<Page>& page = directory_[at];
     std::size_t span = std::size_t(1) << (depth_ - page->depth), first = at / span * span;
@@ -163,7 +172,7 @@
     std::size_t span = std::size_t(1) << (depth_ - depth), first = at / span * span;
     std::shared_ptr<Page> old = directory_[first];
     std::shared_ptr<Page> halves[2] = {std::make_shared<Page>(), std::make_shared<Page>()};
-    for (auto& half : halves) half->depth = depth + 1;
+    for (auto& half : halves) half->depth = depth + 1, half->seed = seed_;
     for (const Entry& e : old->slots) {
         if (!e.used) continue;
         std::uint64_t hash = mix(e.key);
--- a/src/store/writer.cpp
+++ b/src/store/writer.cpp
@@ -118,6 +118,12 @@
 
 Status Writer::write(const std::vector<Batch>& group) {
     if (broken_) return {EIO, "the log is given up"};
+    if (group.empty()) return {};
+    if (group.front().sequence !=
+        next_sequence_) {  // sequences say what still stands: they must be the owner's
+        broken_ = true;
+        return {EINVAL, "sequences do not follow"};
+    }
     if (size_ >= options_.segment)
         if (Status s = roll(next_sequence_); !s.ok()) {
             broken_ = true;
