Store: a manifest says how much was synced; readers make no lock; memory given back

Cause of the first: compaction's manifest drops a segment once what lived in it has been written to the last one, and a copy may take that manifest beside an older last segment. Change: the manifest says how much of the unsealed segment was synced.

--- a/src/program/store_command.cpp
+++ b/src/program/store_command.cpp
@@ -133,13 +133,13 @@
         : folder_(std::move(folder)), salvage_(salvage), out_(out), errors_(errors) {}
 
     // `make`: the folder may be empty, or not there yet.
-    bool open(bool make) {
+    bool open(bool make, bool writes = false) {
         if (!make) {
             if (FolderCheck check = check_folder(folder_); !check.status.ok())
                 return fail(check.status.text());
         }
         if (Status s = open_folder(folder_, environment_); !s.ok()) return fail(s.text());
-        if (Status s = environment_->lock(lock_); !s.ok())
+        if (Status s = environment_->lock(lock_, make || writes); !s.ok())
             return fail(s.code == EWOULDBLOCK ? "another process has it open" : s.text());
         found_ = recover(*environment_, salvage_, [&](Record&& r, std::uint64_t sequence) {
             auto at = std::pair(r.space, r.key);
@@ -243,7 +243,7 @@
 
     // All that lives, in a new generation.
     int compact() {
-        if (!open(false)) return 1;
+        if (!open(false, true)) return 1;
         if (!found_.usable()) return unusable();
         tell();
         std::uint64_t before = found_.bytes;
--- a/src/store/environment.hpp
+++ b/src/store/environment.hpp
@@ -45,7 +45,8 @@
     virtual Status sync_folder() = 0;  // makes creations, renames and removals last
     virtual Status list(std::vector<std::string>& names) = 0;
     // One holder at a time, over all processes; EWOULDBLOCK where another has it. It ends with its holder.
-    virtual Status lock(std::unique_ptr<Lock>& out) = 0;
+    // `make`: the file for it is made; without, where there is none, nobody holds it and nothing is written.
+    virtual Status lock(std::unique_ptr<Lock>& out, bool make = true) = 0;
 };
 
 // The folder is made where its parent exists. It never follows a link out of it, and opens no file that is
--- a/src/store/fault_environment.cpp
+++ b/src/store/fault_environment.cpp
@@ -114,7 +114,7 @@
     return {};
 }
 
-Status FaultEnvironment::lock(std::unique_ptr<Lock>& out) {
+Status FaultEnvironment::lock(std::unique_ptr<Lock>& out, bool) {
     struct Held : Lock {
         explicit Held(std::shared_ptr<bool> l) : locked(std::move(l)) { *locked = true; }
         ~Held() override { *locked = false; }
--- a/src/store/fault_environment.hpp
+++ b/src/store/fault_environment.hpp
@@ -36,7 +36,7 @@
     Status remove(const std::string& name) override;
     Status sync_folder() override;
     Status list(std::vector<std::string>& names) override;
-    Status lock(std::unique_ptr<Lock>& out) override;
+    Status lock(std::unique_ptr<Lock>& out, bool make) override;
 
     // Called before each step that changes something; an errno makes it fail. A `write` that fails leaves its
     // first half.
--- a/src/store/format.hpp
+++ b/src/store/format.hpp
@@ -62,7 +62,9 @@
     struct Segment {
         std::uint64_t number = 0;
         bool sealed = false;
-        std::uint64_t length = 0, checksum = 0;  // of a sealed one: XXH3-64 of its first `length` bytes
+        // Of a sealed one: XXH3-64 of its first `length` bytes. Else `length` was synced when this was
+        // written.
+        std::uint64_t length = 0, checksum = 0;
         bool operator==(const Segment&) const = default;
     };
     std::uint64_t store = 0, epoch = 0, next = 1;  // number of the next segment
--- a/src/store/posix_environment.cpp
+++ b/src/store/posix_environment.cpp
@@ -106,8 +106,13 @@
         ::closedir(dir);
         return {};
     }
-    Status lock(std::unique_ptr<Lock>& out) override {
-        int fd = ::openat(folder_, "LOCK", O_RDWR | O_CREAT | O_CLOEXEC | O_NOFOLLOW, 0600);
+    Status lock(std::unique_ptr<Lock>& out, bool make) override {
+        int fd =
+            ::openat(folder_, "LOCK", (make ? O_RDWR | O_CREAT : O_RDONLY) | O_CLOEXEC | O_NOFOLLOW, 0600);
+        if (fd < 0 && !make && errno == ENOENT) {
+            out = nullptr;
+            return {};
+        }
         if (fd < 0) return failed("open", "LOCK");
         if (::flock(fd, LOCK_EX | LOCK_NB) < 0) {
             Status s = failed("lock", "LOCK");
--- a/src/store/recovery.cpp
+++ b/src/store/recovery.cpp
@@ -144,8 +144,11 @@
                             {name, at == good.size() ? 0 : at, "it is not what was sealed"});
             return salvage_rest(name, good, h.store, at);
         }
-        if (!sealed && at != good.size()) {
-            if (damage_behind(good, h.store, at)) {
+        // The manifest says how much of an unsealed one was synced when it was written. A copy that took the
+        // manifest later than the segment is found out by that, and so is damage up to there.
+        bool short_of = !sealed && !rebuilt_ && at < segment.length;
+        if (!sealed && (at != good.size() || short_of)) {
+            if (short_of || damage_behind(good, h.store, at)) {
                 if (!damage(name, at, "what was synced is damaged")) return false;
                 return salvage_rest(name, good, h.store, at);
             }
--- a/src/store/session_table.hpp
+++ b/src/store/session_table.hpp
@@ -123,6 +123,15 @@
         return pages * sizeof(Page) + directory_.capacity() * sizeof(directory_[0]);
     }
 
+    // Pages are not joined when they empty: where hardly anything is left, it is moved to a table of its
+    // size.
+    void shrink() {
+        if (bytes() < (1u << 20) || bytes() < size_ * sizeof(Entry) * 12) return;
+        SessionTable smaller(seed_);
+        snapshot().each([&](const Entry& e) { smaller.put(e.key) = e; });
+        *this = std::move(smaller);
+    }
+
     class Snapshot {
       public:
         template <typename F>
--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -148,6 +148,7 @@
         p.timed = 0;
         schedule(p);
     });
+    if (now_s % 64 == 0) sessions_.shrink();
     for (auto& map : spaces_) {
         std::vector<std::string> over;
         if (map.size() > 0 && now_s % 16 == 0)
--- a/src/store/writer.cpp
+++ b/src/store/writer.cpp
@@ -56,7 +56,7 @@
         last.length = recovered.good;
         last.checksum = recovered.good_checksum;
     }
-    next.segments.push_back({number_, false, 0, 0});
+    next.segments.push_back({number_, false, durable_, 0});
     next.next = next_number_;
     ++next.epoch;
     if (Status s = replace_manifest(next); !s.ok()) return s;
@@ -105,12 +105,12 @@
     if (Status s = new_segment(first); !s.ok()) return s;
     if (pending_) {
         fresh_.back() = ended;
-        fresh_.push_back({number_, false, 0, 0});
+        fresh_.push_back({number_, false, durable_, 0});
         return {};
     }
     Manifest next = manifest_;
     next.segments.back() = ended;
-    next.segments.push_back({number_, false, 0, 0});
+    next.segments.push_back({number_, false, durable_, 0});
     next.next = next_number_;
     ++next.epoch;
     return replace_manifest(next);
@@ -160,7 +160,7 @@
     next_number_ = std::max(next_number_, found.next);
     fresh_.clear();
     if (Status s = new_segment(next_sequence); !s.ok()) return s;
-    fresh_.push_back({number_, false, 0, 0});
+    fresh_.push_back({number_, false, durable_, 0});
     next_sequence_ = next_sequence;
     pending_ = true;
     broken_ = false;
@@ -169,6 +169,7 @@
 }
 
 Status Writer::switch_over() {
+    fresh_.back().length = durable_;
     Manifest next{manifest_.store, manifest_.epoch + 1, next_number_, fresh_};
     if (Status s = replace_manifest(next); !s.ok()) {
         broken_ = true;
@@ -221,6 +222,9 @@
     Manifest next = manifest_;
     std::uint64_t number = next.segments.front().number;
     next.segments.erase(next.segments.begin());
+    // What lived in it stands in the last one, up to here at least: with less of it the manifest would be no
+    // truth.
+    next.segments.back().length = durable_;
     ++next.epoch;
     if (Status s = replace_manifest(next); !s.ok()) return s;
     oldest_.clear();
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -306,11 +306,63 @@
     std::string why;
     auto folder = std::make_unique<FaultEnvironment>();
     std::unique_ptr<Lock> held;
-    folder->lock(held);
+    folder->lock(held, true);
     CHECK_FALSE(StoreThread::open(std::move(folder), {}, 0, {}, found, why));
     CHECK(why == "another process has it open");
 }
 
+// A copy takes each file at another moment.
+TEST_CASE("a store copied while it is open is a state that there was, or refused") {
+    int refused = 0, good = 0;
+    for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+        std::mt19937_64 random(seed);
+        FaultEnvironment disk;
+        Rig rig(disk);
+        std::set<std::map<std::string, std::string>> states{{}};
+        std::vector<std::map<std::string, std::string>> moments;
+        for (int i = 0; i < 60; ++i) {
+            rig.store.put(Space::hosts, "h" + std::to_string(random() % 5),
+                          std::string(20 + random() % 30, 'v'));
+            rig.carry();
+            states.insert(rig.state());
+            moments.push_back(disk.files());
+        }
+        for (int copy = 0; copy < 40; ++copy) {
+            std::size_t from = random() % 50;
+            FaultEnvironment copied;
+            for (auto& [name, bytes] : moments[from]) {
+                auto& later = moments[std::min<std::size_t>(59, from + random() % 6)];
+                if (auto it = later.find(name); it != later.end()) copied.set_file(name, it->second);
+            }
+            Store store;
+            Recovered r =
+                recover(copied, false, [&](Record&& x, std::uint64_t s) { store.load(std::move(x), s); });
+            if (!r.usable()) {
+                ++refused;
+                continue;
+            }
+            ++good;
+            REQUIRE(states.count(Rig::state_of(store)));
+        }
+    }
+    CHECK(refused > 0);
+    CHECK(good > 0);
+}
+
+TEST_CASE("a million sessions that expire give their memory back") {
+    Store store(3);
+    for (std::uint64_t i = 0; i < 300000; ++i) store.put_position(i, i, 100'000 + i % 1000);
+    for (std::uint64_t i = 0; i < 10; ++i) store.put_position(i, i, 10'000'000);
+    store.orders();
+    std::size_t before = store.sessions().bytes();
+    for (std::uint64_t now = 0; now <= 256'000; now += 1000) store.expire(now);
+    CHECK(store.sessions().size() == 10);
+    CHECK(store.sessions().bytes() < before / 20);
+    for (std::uint64_t i = 0; i < 10; ++i) CHECK(store.position(i) == i);
+    store.expire(20'000'000);
+    CHECK(store.size() == 0);
+}
+
 // A store of some twenty kilobytes, each byte of it; `make torture` does the same to some megabytes.
 TEST_CASE("every byte cut, flipped and zeroed: an earlier state or a refusal, never wrong data") {
     Specimen specimen(20, 300, 4096);
