Store: what is salvaged is written anew, so that the next start finds a whole store

Need: `--salvage` kept what was provable in memory, but the damaged segments stayed in the manifest, and a last one was sealed at length 0: the next start refused the store again.

Cause: begin() takes over what recovery found, and after a salvage that is no manifest of anything whole.

Change: Writer::adopt leaves the disk as it is until a generation of all that was kept takes its place at once; numbers go on behind every file that is there.

Measured: three kinds of damage salvaged, written to, cut off by a crash: whole afterwards.

--- a/src/program/store_keeper.cpp
+++ b/src/program/store_keeper.cpp
@@ -116,8 +116,7 @@
     options.lease_us = std::uint64_t(config_.lease.count());
     positions_ = std::make_unique<store::Positions>(thread_->store(), options,
                                                     [this](Witness w) { return keep_witness(w); });
-    bool salvaged =
-        config_.salvage && !found.findings.empty() && found.outcome != store::Recovered::Outcome::torn;
+    bool salvaged = found.salvaged;
     bool recovered = found.outcome != store::Recovered::Outcome::fresh;
     auto start = positions_->start(recovered, salvaged, read_witness(), boot_id(), now_us());
     Tokens tokens;
--- a/src/store/carrier.cpp
+++ b/src/store/carrier.cpp
@@ -10,7 +10,9 @@
 }
 
 Status Carrier::begin(const Recovered& recovered, std::uint64_t new_store_number) {
-    return writer_.begin(recovered, new_store_number);
+    if (!recovered.salvaged) return writer_.begin(recovered, new_store_number);
+    failing_ = able_told_ = true;  // until its owner's generation has come
+    return writer_.adopt(recovered, new_store_number);
 }
 
 void Carrier::give_up(const Status& status, std::uint64_t now_ms, std::vector<News>& news) {
--- a/src/store/recovery.cpp
+++ b/src/store/recovery.cpp
@@ -40,6 +40,7 @@
     bool damage(std::string file, std::uint64_t offset, std::string what) {
         if (!salvage_) return stop(Outcome::damaged, {std::move(file), offset, std::move(what)});
         out_.findings.push_back({std::move(file), offset, std::move(what)});
+        out_.salvaged = true;
         return true;
     }
     bool failed(const Status& status) {
@@ -199,6 +200,7 @@
 
     bool salvage_rest(const std::string& name, std::string_view bytes, std::uint64_t store,
                       std::uint64_t at) {
+        out_.salvaged = true;
         std::size_t i = std::size_t(at);
         std::uint64_t dropped_from = at;
         while ((i = bytes.find(kFrameStart, i)) != std::string_view::npos) {
--- a/src/store/recovery.hpp
+++ b/src/store/recovery.hpp
@@ -35,6 +35,8 @@
     std::uint64_t next_sequence = 1, records = 0, bytes = 0;
     std::vector<Finding>
         findings;  // torn: what was cut; damaged: the first damage; salvaged: all that was dropped
+    bool salvaged =
+        false;  // something was dropped: what is kept must be written anew, the old never sealed as it is
     bool usable() const {
         return outcome == Outcome::fresh || outcome == Outcome::whole || outcome == Outcome::torn;
     }
--- a/src/store/store.hpp
+++ b/src/store/store.hpp
@@ -89,6 +89,8 @@
     void news(News&& news);
     std::vector<Order> orders();  // since the last call
     bool has_orders() const { return !orders_.empty(); }
+    // All there is, in place of what is on disk: of a store that was salvaged, right after begin().
+    void rewrite() { begin_generation(); }
     void close();  // the last order: all before it is on disk when it is done
 
     void on_durable(std::function<void(std::uint64_t ticket)> hear) { durable_heard_ = std::move(hear); }
--- a/src/store/thread.cpp
+++ b/src/store/thread.cpp
@@ -52,6 +52,7 @@
         why = s.text();
         return nullptr;
     }
+    if (found.salvaged) self->store_.rewrite();
     self->live_ = self->store_.live_bytes();
     self->thread_ = std::thread([raw = self.get()] { raw->run(); });
     return self;
--- a/src/store/writer.cpp
+++ b/src/store/writer.cpp
@@ -64,6 +64,20 @@
     return {};
 }
 
+// Numbers go on behind all files that are there, whatever they are: none of them may be written over.
+Status Writer::adopt(const Recovered& recovered, std::uint64_t new_store_number) {
+    manifest_ = recovered.manifest;
+    if (manifest_.store == 0) manifest_.store = new_store_number;
+    next_sequence_ = recovered.next_sequence;
+    next_number_ = std::max<std::uint64_t>(manifest_.next, 1);
+    std::vector<std::string> names;
+    if (Status s = environment_.list(names); !s.ok()) return s;
+    for (const std::string& name : names)
+        if (auto number = segment_number(name)) next_number_ = std::max(next_number_, *number + 1);
+    adopted_ = broken_ = true;
+    return {};
+}
+
 // Segments that no manifest names: of a beginning, a compaction or a generation that a crash cut short.
 void Writer::remove_unlisted() {
     std::vector<std::string> names;
@@ -148,16 +162,19 @@
 }
 
 Status Writer::restart(std::uint64_t next_sequence) {
-    // What the manifest on disk says is read again: after a failed sync of the folder either may be there.
-    std::unique_ptr<File> file;
-    std::string bytes;
-    Manifest found;
-    std::size_t at = 0;
-    if (Status s = environment_.open("MANIFEST", file); !s.ok()) return s;
-    if (Status s = file->read(0, std::size_t(file->size()), bytes); !s.ok()) return s;
-    if (decode(bytes, found, at) != Read::well) return {EIO, "the manifest can't be read"};
-    manifest_ = found;
-    next_number_ = std::max(next_number_, found.next);
+    if (!adopted_) {
+        // What the manifest on disk says is read again: after a failed sync of the folder either may be
+        // there.
+        std::unique_ptr<File> file;
+        std::string bytes;
+        Manifest found;
+        std::size_t at = 0;
+        if (Status s = environment_.open("MANIFEST", file); !s.ok()) return s;
+        if (Status s = file->read(0, std::size_t(file->size()), bytes); !s.ok()) return s;
+        if (decode(bytes, found, at) != Read::well) return {EIO, "the manifest can't be read"};
+        manifest_ = found;
+        next_number_ = std::max(next_number_, found.next);
+    }
     fresh_.clear();
     if (Status s = new_segment(next_sequence); !s.ok()) return s;
     fresh_.push_back({number_, false, durable_, 0});
@@ -175,7 +192,7 @@
         broken_ = true;
         return s;
     }
-    pending_ = false;
+    pending_ = adopted_ = false;
     fresh_.clear();
     remove_unlisted();
     return {};
--- a/src/store/writer.hpp
+++ b/src/store/writer.hpp
@@ -30,6 +30,9 @@
     // Takes over what was recovered: seals the last segment at its good length, begins a new one. On an error
     // nothing on disk has changed that matters; it may be tried again.
     Status begin(const Recovered& recovered, std::uint64_t new_store_number);
+    // Of a store that was salvaged, in place of begin(): nothing on disk changes until restart() and
+    // switch_over() have put a generation in its place.
+    Status adopt(const Recovered& recovered, std::uint64_t new_store_number);
     // All of them are on disk once this returns well. On an error their segment is given up for good, at its
     // last good length; they were written anew to another, or, where that failed too, are in no segment: see
     // broken().
@@ -71,7 +74,7 @@
     std::unique_ptr<File> file_;
     std::unique_ptr<Checksum> sum_;
     std::uint64_t number_ = 0, next_number_ = 1, durable_ = 0, size_ = 0, next_sequence_ = 1;
-    bool broken_ = false, pending_ = false;
+    bool broken_ = false, pending_ = false, adopted_ = false;
     std::string oldest_;  // the segment that is compacted
     std::uint64_t oldest_number_ = 0, oldest_at_ = 0;
     Counts counts_;
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -311,6 +311,49 @@
     CHECK(why == "another process has it open");
 }
 
+// Found by fuzzing: a salvaged store was sealed as it was, so that the next start refused it again. What is
+// kept is written anew.
+TEST_CASE("after a salvage the store is whole, and holds what was kept") {
+    for (int how = 0; how < 3; ++how) {
+        auto folder = std::make_unique<FaultEnvironment>();
+        {
+            Rig rig(*folder, 0, small_options());
+            for (int i = 0; i < 60; ++i)
+                rig.store.put(Space::hosts, "h" + std::to_string(i), "v"), rig.carry();
+        }
+        auto files = folder->files();
+        auto first = std::find_if(files.begin(), files.end(),
+                                  [](auto& f) { return segment_number(f.first).has_value(); });
+        auto last = std::prev(files.end());
+        if (how == 0) folder->set_file(first->first, first->second.substr(0, 200));
+        if (how == 1) folder->set_file("MANIFEST", "nonsense");
+        if (how == 2) {
+            std::string spoilt = last->second;
+            spoilt[kHeader + 60] = char(~spoilt[kHeader + 60]);
+            folder->set_file(last->first, spoilt);
+        }
+        REQUIRE(recover(*folder, false, [](Record&&, std::uint64_t) {}).outcome ==
+                Recovered::Outcome::damaged);
+        Recovered found;
+        std::string why;
+        OpenOptions options;
+        options.salvage = true;
+        FaultEnvironment* disk = folder.get();
+        auto thread = StoreThread::open(std::move(folder), options, 0, {}, found, why);
+        REQUIRE_MESSAGE(thread, why);
+        CHECK(found.salvaged);
+        std::size_t kept = thread->store().size();
+        CHECK(kept >= (how == 1 ? 60 : 20));
+        thread->store().put(Space::operators, "after", "it");
+        thread->close();
+        auto after = disk->crash([](std::size_t) { return std::size_t(0); });
+        thread.reset();
+        Rig rig(*after);
+        CHECK(rig.found.outcome == Recovered::Outcome::whole);
+        CHECK(rig.store.size() == kept + 1);
+    }
+}
+
 // A copy takes each file at another moment.
 TEST_CASE("a store copied while it is open is a state that there was, or refused") {
     int refused = 0, good = 0;
