--- a/bench/store_bench.cpp
+++ b/bench/store_bench.cpp
@@ -168,6 +168,7 @@
             }
         }
         store->close();
+        state.counters["write"] = double(store->writer().counts().bytes) / double(user);
         state.counters["space"] = double(store->store().log_bytes()) / double(store->store().live_bytes());
         state.counters["log_MiB"] = double(store->store().log_bytes()) / 1048576;
     }
--- a/src/store/thread.hpp
+++ b/src/store/thread.hpp
@@ -34,6 +34,10 @@
     std::vector<std::string> poll();  // takes the news in; lines for the log
     void close();                     // waits until all is on disk
 
+    const Writer& writer() const {
+        return carrier_.writer();
+    }  // once closed: until then it is the other thread's
+
   private:
     struct Queues;
     StoreThread(std::unique_ptr<Environment> environment, OpenOptions options, std::function<void()> wake);
