--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -27,8 +27,8 @@
         Position& p = sessions_.put(*session);
         if (sessions_.size() != before) live_bytes_ += cost(8, 8);
         p.value = *value;
-        p.sequence = sequence;
-        p.expires_s = std::uint32_t((r.expires_ms + 999) / 1000);
+        p.sequence = std::uint32_t(sequence);
+        p.expires_s = std::uint32_t(std::min<std::uint64_t>((r.expires_ms + 999) / 1000, 0x7fffffff));
         schedule(p);
         return;
     }
@@ -66,7 +66,6 @@
 void Store::begin(const Recovered& recovered, std::uint64_t now_ms) {
     sequence_ = std::max(sequence_, recovered.next_sequence);
     log_bytes_ = recovered.bytes;
-    begun_ = true;
     expire(now_ms);
 }
 
--- a/src/store/store.hpp
+++ b/src/store/store.hpp
@@ -117,7 +117,7 @@
     std::vector<Order> orders_;
     std::uint64_t sequence_ = 1, ticket_ = 0, written_ = 0, durable_ = 0;
     std::uint64_t live_bytes_ = 0, log_bytes_ = 0;
-    bool failing_ = false, begun_ = false;
+    bool failing_ = false;
     std::function<void(std::uint64_t)> durable_heard_;
 };
 
--- a/tests/store_test.cpp
+++ b/tests/store_test.cpp
@@ -392,6 +392,15 @@
     CHECK(good > 0);
 }
 
+// Fails where the 31 bits of an entry's time wrap: it would be forgotten at once, and its session's reads be
+// stale.
+TEST_CASE("a position kept beyond 2038 is kept until then, not forgotten at once") {
+    Store store;
+    store.put_position(1, 7, (std::uint64_t(1) << 31) * 1000 + 5000);
+    store.expire(1'800'000'000'000);
+    CHECK(store.position(1) == 7);
+}
+
 TEST_CASE("a million sessions that expire give their memory back") {
     Store store(3);
     for (std::uint64_t i = 0; i < 300000; ++i) store.put_position(i, i, 100'000 + i % 1000);
