Limits, operators' files, emulator: what stood twice stands once

Need: a second reading of the change. A waiting request was refused and forgotten in four places by the same lines; both operators' files were read and parsed by twin code; the emulator held a pointer that nobody used and a loop that ran once.

Change: Limiter::give_up and refuse, parse_toml and read_operators_file; behaviour and messages as they were.

--- a/src/lab/fleet.cpp
+++ b/src/lab/fleet.cpp
@@ -271,11 +271,9 @@
     Owner* owner = std::exchange(owner_, nullptr);
     if (!owner) return;
     auto self = shared_from_this();
-    world_.timeline.after(world_.options.one_way, Rank::arrival,
-                          [self, owner, alive = std::weak_ptr<FleetLink>(self)] {
-                              (void)alive;
-                              owner->on_end(*self, self->up_ ? End::written : End::unreachable);
-                          });
+    world_.timeline.after(world_.options.one_way, Rank::arrival, [self, owner] {
+        owner->on_end(*self, self->up_ ? End::written : End::unreachable);
+    });
 }
 
 void FleetLink::answer(Result result) {
@@ -300,13 +298,10 @@
     world_.auditor.work(host_.number, world_.options.classes[std::size_t(item.cls)].work, sent);
     if (world_.options.defect == Defect::second_copy && world_.summary.attempts % 500 == 7)
         world_.auditor.sent(item.id, pooler_, host_.number + 1, sent);
-    if (world_.options.defect == Defect::cold_flooded && world_.summary.attempts % 500 == 7)
-        for (int i = 0; i < 2000; ++i) {
-            world_.auditor.started(host_.number, sent, double(world_.options.cores));
-            break;
-        }
-    if (world_.options.defect == Defect::cold_flooded && world_.summary.attempts % 500 == 7)
+    if (world_.options.defect == Defect::cold_flooded && world_.summary.attempts % 500 == 7) {
+        world_.auditor.started(host_.number, sent, double(world_.options.cores));
         for (int i = 0; i < 2000; ++i) world_.auditor.work(host_.number, 50ms, sent);
+    }
     world_.timeline.after(world_.options.one_way, Rank::world, [weak = weak_from_this(), item, sent] {
         if (auto self = weak.lock()) self->work(item, sent);
     });
--- a/src/limits/limiter.cpp
+++ b/src/limits/limiter.cpp
@@ -30,18 +30,13 @@
 Limiter::~Limiter() = default;
 
 Limiter::Group& Limiter::group(std::uint32_t number) {
-    auto& g = groups_[number];
-    if (!g) {
-        // Clients name groups: those that nobody uses are forgotten, lest they grow without end.
-        if (groups_.size() > kGroups)
-            std::erase_if(groups_, [](const auto& item) {
-                return item.second && item.second->waiting == 0 && item.second->running == 0;
-            });
-        auto& g = groups_[number];
-        g = std::make_unique<Group>();
-        g->number = number;
-        return *g;
-    }
+    if (auto it = groups_.find(number); it != groups_.end()) return *it->second;
+    // Clients name groups: those that nobody uses are forgotten, lest they grow without end.
+    if (groups_.size() > kGroups)
+        std::erase_if(
+            groups_, [](const auto& item) { return item.second->waiting == 0 && item.second->running == 0; });
+    auto& g = groups_[number] = std::make_unique<Group>();
+    g->number = number;
     return *g;
 }
 
@@ -117,6 +112,19 @@
     return v;
 }
 
+// One that waits is refused and forgotten.
+Verdict Limiter::give_up(Entry& e, Cause cause, Time now) {
+    take_out(e);
+    return refuse(e, cause, now);
+}
+
+Verdict Limiter::refuse(Entry& e, Cause cause, Time now) {
+    Verdict v = refusal(e, cause, now);
+    ++counts_.refused;
+    entries_.erase(v.id);
+    return v;
+}
+
 Verdict Limiter::arrive(const Arrival& arrival, Time now) {
     auto& held = entries_[arrival.id];
     held = std::make_unique<Entry>();
@@ -129,17 +137,11 @@
     e.group = &g;
     e.flow = &f;
     e.since = now;
-    auto refuse = [&](Cause cause) {
-        Verdict v = refusal(e, cause, now);
-        ++counts_.refused;
-        entries_.erase(arrival.id);
-        return v;
-    };
     auto view = costs_.view(arrival.shape, arrival.estimate, g.pulse, now);
     if (view.standing == Standing::quarantined) {
         auto running = running_.find({g.number, arrival.shape});
         bool free = running == running_.end() || running->second == 0;
-        if (now < view.probe_at || !free) return refuse(Cause::quarantined);
+        if (now < view.probe_at || !free) return refuse(e, Cause::quarantined, now);
         costs_.probed(arrival.shape, now);
         e.probe = true;
         ++counts_.probes;
@@ -179,10 +181,7 @@
         cause = Cause::share_full;
     else if (e.expires <= now || now + std::min(ahead, settings_.wait) + e.charge > arrival.deadline)
         cause = Cause::too_late;
-    if (cause != Cause::none) {
-        take_out(e);
-        return refuse(cause);
-    }
+    if (cause != Cause::none) return give_up(e, cause, now);
     expiry_.emplace(std::pair(e.expires, arrival.id), &e);
     ++counts_.waited;
     if (capped(e, now)) ++counts_.capped;
@@ -200,11 +199,7 @@
     for (Lane& lane : most->lanes) {
         if (lane.waiting.empty()) continue;
         Entry& last = *lane.waiting.back();
-        told_.push_back(refusal(last, Cause::share_full, now));
-        ++counts_.refused;
-        std::uint64_t id = last.arrival.id;
-        take_out(last);
-        entries_.erase(id);
+        told_.push_back(give_up(last, Cause::share_full, now));
         return;
     }
 }
@@ -331,13 +326,8 @@
     told_.clear();
     while (!expiry_.empty() && expiry_.begin()->first.first <= now) {
         Entry& e = *expiry_.begin()->second;
-        Verdict v = refusal(e, Cause::waited, now);
         e.group->due = true;
-        std::uint64_t id = e.arrival.id;
-        take_out(e);
-        entries_.erase(id);
-        ++counts_.refused;
-        out.push_back(v);
+        out.push_back(give_up(e, Cause::waited, now));
     }
     for (auto& [number, g] : groups_) {
         if (!std::exchange(g->due, false) || g->waiting == 0) continue;
@@ -350,13 +340,7 @@
                         costs_.view(e->arrival.shape, e->arrival.estimate, g->pulse, now).standing ==
                             Standing::quarantined)
                         lost.push_back(e);
-        for (Entry* e : lost) {
-            out.push_back(refusal(*e, Cause::quarantined, now));
-            ++counts_.refused;
-            std::uint64_t id = e->arrival.id;
-            take_out(*e);
-            entries_.erase(id);
-        }
+        for (Entry* e : lost) out.push_back(give_up(*e, Cause::quarantined, now));
         pump(*g, now, out);
     }
 }
--- a/src/limits/limiter.hpp
+++ b/src/limits/limiter.hpp
@@ -137,6 +137,8 @@
     void start(Entry& e, Time now);
     void take_out(Entry& e);
     Verdict refusal(const Entry& e, Cause cause, Time now) const;
+    Verdict give_up(Entry& e, Cause cause, Time now);
+    Verdict refuse(Entry& e, Cause cause, Time now);  // one that is in no lane
     Duration drain_time(const Group& g, const Flow& f) const;
     void sweep(Group& g);
 
--- a/src/program/statement_rules.cpp
+++ b/src/program/statement_rules.cpp
@@ -2,10 +2,8 @@
 
 #include <algorithm>
 #include <charconv>
-#include <fstream>
 #include <functional>
 #include <set>
-#include <sstream>
 
 #include "program/toml_reader.hpp"
 
@@ -118,14 +116,7 @@
 }  // namespace
 
 StatementConfig parse_statement_config(const std::string& text, const std::string& file) {
-    toml::table parsed;
-    try {
-        parsed = toml::parse(text, file);
-    } catch (const toml::parse_error& error) {
-        throw FileError(file + ":" + std::to_string(error.source().begin.line) + ":" +
-                        std::to_string(error.source().begin.column) + ": " +
-                        std::string(error.description()));
-    }
+    toml::table parsed = parse_toml(text, file);
     StatementConfig c;
     TomlReader reader(file);
     {
@@ -176,11 +167,7 @@
 }
 
 StatementConfig read_statement_config(const std::string& path) {
-    std::ifstream in(path);
-    if (!in) throw FileError(path + ": it can't be read");
-    std::ostringstream text;
-    text << in.rdbuf();
-    return parse_statement_config(text.str(), path);
+    return parse_statement_config(read_operators_file(path), path);
 }
 
 }  // namespace indigovane::program
--- a/src/program/store_config.cpp
+++ b/src/program/store_config.cpp
@@ -1,22 +1,12 @@
 #include "program/store_config.hpp"
 
-#include <fstream>
-#include <sstream>
-
 #include "program/toml_reader.hpp"
 #include "store/environment.hpp"
 
 namespace indigovane::program {
 
 StoreConfig parse_store_config(const std::string& text, const std::string& file) {
-    toml::table parsed;
-    try {
-        parsed = toml::parse(text, file);
-    } catch (const toml::parse_error& error) {
-        throw FileError(file + ":" + std::to_string(error.source().begin.line) + ":" +
-                        std::to_string(error.source().begin.column) + ": " +
-                        std::string(error.description()));
-    }
+    toml::table parsed = parse_toml(text, file);
     StoreConfig c;
     TomlReader reader(file);
     {
@@ -54,11 +44,7 @@
 }
 
 StoreConfig read_store_config(const std::string& path) {
-    std::ifstream in(path);
-    if (!in) throw FileError(path + ": it can't be read");
-    std::ostringstream text;
-    text << in.rdbuf();
-    return parse_store_config(text.str(), path);
+    return parse_store_config(read_operators_file(path), path);
 }
 
 }  // namespace indigovane::program
--- a/src/program/toml_reader.hpp
+++ b/src/program/toml_reader.hpp
@@ -3,10 +3,11 @@
 #pragma once
 
 #include <algorithm>
-#include <charconv>
+#include <fstream>
 #include <functional>
 #include <optional>
 #include <set>
+#include <sstream>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,24 @@
 using limits::Duration;
 using statement::Route;
 
+inline toml::table parse_toml(const std::string& text, const std::string& file) {
+    try {
+        return toml::parse(text, file);
+    } catch (const toml::parse_error& error) {
+        throw FileError(file + ":" + std::to_string(error.source().begin.line) + ":" +
+                        std::to_string(error.source().begin.column) + ": " +
+                        std::string(error.description()));
+    }
+}
+
+inline std::string read_operators_file(const std::string& path) {
+    std::ifstream in(path);
+    if (!in) throw FileError(path + ": it can't be read");
+    std::ostringstream text;
+    text << in.rdbuf();
+    return text.str();
+}
+
 inline std::size_t distance(std::string_view a, std::string_view b) {
     std::vector<std::size_t> row(b.size() + 1);
     for (std::size_t j = 0; j <= b.size(); ++j) row[j] = j;
