Probes are paid for by requests, and late answers refuse no reads

A trace of every event of all poolers, summed: 18% of first reads refused on arrival while hosts had room; 0.5 to 1.1 probes a request, 18,000 of them to hosts that were cut off; cold hosts far under what they could do, the one warm host of a group at 2.5 times its load; the first replica of each group with twice the reads of any other.

Ruled out: list calls (price 0.0001), misses and errors (few), ends of attempts at the aim (tried at 1, 1.6 and 2.5 aims: what answers in time gained was lost in wasted work).

At fault, all in src/brain.cpp: admitted() and weigh(), which moved a group's admission by a third with one answer; steady(), trials and first use, which took no price into account; ready_share() with 0.8 where poolers are many; choose_unfit(), which took the first of the list among unknown ones; passes(), which kept all reads on the replica heard of last.

Changed: admission is gone; a probe costs credit that requests earn by the price in the settings (tariffs.probe); one cold share, 0.56 of the fall multiple; chance among unknown ones; where members check, the lag last told stands.

--- a/include/starlingpond/brain.hpp
+++ b/include/starlingpond/brain.hpp
@@ -85,6 +85,7 @@
     std::optional<Duration> ramp;         // and all of it after this
     std::optional<double> fall_multiple;  // sent this multiple of what it can do at the moment
     std::optional<Duration> fall_window;  // for this long, a cold member falls over
+    std::optional<double> probe_price;    // of a probe, where a request in time earns 1 on average
 };
 
 // What a member says of itself; as old as the report.
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -34,6 +34,8 @@
 constexpr Duration kSeekMost = seconds(1);  // but each second at least
 constexpr Duration kFirstHold = milliseconds(300);    // longest wait for a fresh router's first probes
 constexpr int kProbeFailures = 2;               // time-outs in a row before a probe counts against a member
+constexpr double kProbeShare = 0.01;   // of what requests earn may go into probes at their price...
+constexpr double kProbeCredit = 10;    // ...and so many may be saved up
 constexpr Duration kUpkeep = milliseconds(20);  // probes due, silence and give-ups are looked at this often
 constexpr Duration kUseMemory = seconds(1);     // over which a group's use is averaged
 constexpr double kAskPings = 3;  // an asked member that takes so many pings longer is passed over
@@ -55,13 +57,6 @@
 constexpr Duration kRestMost = seconds(2);    // long each time, up to this
 constexpr Duration kReportAge = milliseconds(400);  // a report may be this old: less is no proof of lag
 
-// Admission to a group's replicas: the share moves with each answer, up or down.
-constexpr double kFewProxies = 8;     // up to so many, windows bind: a window is one at the least
-constexpr double kAdmitStrain = 0.6;  // answer time as a share of the aim at which it stays
-constexpr double kAdmitWorst = 1.5;   // a later answer tells no more
-constexpr double kAdmitGain = 1;      // an answer at the aim takes a third away: a proxy sees few of them
-constexpr double kAdmitLeast = 0.2;   // least share
-
 // Circuit breaker.
 constexpr Duration kSilence = milliseconds(350);  // no answer at all with work out: longer than a usual pause
 constexpr double kSilentAnswers = 12;             // and this many answers were to be expected meanwhile
@@ -79,7 +74,7 @@
                                      // come again, and has cost it more than it could still earn
 constexpr double kTail = 2.5;         // answer times that a held read keeps in hand: most answers take less
 constexpr double kFirstGuess = 0.25;  // usual answer time before any answer, as a share of the aim
-constexpr std::size_t kFirstProbes = 3;  // of a group at first use, where proxies are many
+constexpr std::size_t kFirstProbes = 3;  // of a group at first use, where probes have a price
 constexpr int kRepeats = 2;  // further attempts after ones that may have run: failures multiply no load
 constexpr std::size_t kPatiencesKept = 16;  // a patience that came this often among the last so many
 constexpr Duration kPatienceJitter = milliseconds(15);  // the way from client to proxy takes a part of it
@@ -88,8 +83,7 @@
 constexpr Duration kRetryAfter = milliseconds(250);     // advice with a refusal: a lag or a gap lasts longer
 
 // Cold members.
-constexpr double kColdCare = 0.8;     // part used of what a cold member can surely do: draws come in runs
-constexpr double kColdCareFew = 1.4;  // where windows bind, too: they grow with answers in time alone
+constexpr double kColdCare = 0.56;  // of what would push it over: draws come in runs, and hosts differ
 
 // Lists and sessions.
 constexpr Duration kListBackoff = milliseconds(400);  // after a failed call, doubling, with jitter
@@ -159,7 +153,6 @@
     bool active = false;  // upkeep looks after it
     double reads = 0;     // that needed a position: a decaying count
     Time reads_at{};
-    double admit = 1;  // share of reads let in where windows can't bind
     std::optional<MemberId> logged_primary;
 };
 
@@ -186,25 +179,24 @@
     std::shared_ptr<Class> cls;  // as it was when the request came
     std::size_t most_attempts = 0;
     GroupId group{};
-    std::optional<SessionKey> session;
+    std::optional<SessionKey> session{};
     Time token{};     // a session read must see this
     double draw = 0;  // uniform in [0, 1): its place in whatever lets only a share of requests pass
     Time arrived{}, deadline{}, aim{};
     bool finished = false, held = false, begun = false;
-    std::vector<Attempt> attempts;
+    std::vector<Attempt> attempts{};
     Member* asked = nullptr;  // probed for this read's sake, its answer awaited since
     Time asked_at{};
     int asks = 0;
-    std::optional<Time> timer;
+    std::optional<Time> timer{};
 
     int out() const {
         return int(std::count_if(attempts.begin(), attempts.end(),
                                  [](const Attempt& a) { return a.fate == Fate::out; }));
     }
     int may_have_run() const {
-        return int(attempts.size()) -
-               int(std::count_if(attempts.begin(), attempts.end(),
-                                 [](const Attempt& a) { return a.fate == Fate::never_ran; }));
+        return int(std::count_if(attempts.begin(), attempts.end(),
+                                 [](const Attempt& a) { return a.fate != Fate::never_ran; }));
     }
     bool tried(const Member* m) const {
         return std::any_of(attempts.begin(), attempts.end(), [m](const Attempt& a) { return a.member == m; });
@@ -236,6 +228,7 @@
     std::deque<std::pair<SessionKey, Time>> token_order;
     Time token_floor{};  // session reads without a remembered token must see this
     Duration probe_every = kProbeAtLeast;
+    double probe_credit = kProbeCredit;  // probes that requests have paid for
     std::vector<Group*> active;  // by the time since which upkeep looks after them
     bool begun = false, list_asked = false;
     Duration list_backoff = kListBackoff;
@@ -252,16 +245,10 @@
         classes.clear();
         probe_every = kProbeAtLeast;
         for (const ClassSettings& c : s.classes) {
-            Class k{c.consistency.value_or(Consistency::write),
-                    c.effect.value_or(Effect::unsafe),
-                    c.repeat_scope.value_or(RepeatScope::group),
-                    c.repeat_window.value_or(Duration::zero()),
-                    c.aim.value_or(c.deadline.value_or(seconds(1))),
-                    c.deadline.value_or(seconds(1)),
-                    c.bound.value_or(Duration::zero()),
-                    c.worth.value_or(1),
-                    c.late_share.value_or(0),
-                    0};
+            Class k{c.consistency.value_or(Consistency::write), c.effect.value_or(Effect::unsafe),
+                    c.repeat_scope.value_or(RepeatScope::group), c.repeat_window.value_or(Duration::zero()),
+                    c.aim.value_or(c.deadline.value_or(seconds(1))), c.deadline.value_or(seconds(1)),
+                    c.bound.value_or(Duration::zero()), c.worth.value_or(1), c.late_share.value_or(0), 0};
             k.usual_ms = ms(k.aim) * kFirstGuess;
             if (k.consistency == Consistency::bounded && k.bound > Duration::zero())
                 probe_every = std::min(probe_every, k.bound / kProbesPerBound);
@@ -269,6 +256,8 @@
         }
     }
 
+    // Of one probe, in requests that pay for it.
+    double probes_cost() const { return std::max(0.0, set.probe_price.value_or(0)) / kProbeShare; }
     bool may_probe() const { return set.probes.value_or(false); }
     bool checked() const { return set.server_check.value_or(ServerCheck::none) != ServerCheck::none; }
     double fleet() const { return std::max<double>(1, set.fleet_size.value_or(1)); }
@@ -359,21 +348,16 @@
             act(Refuse{q.id, advice(), false});
             return;
         }
-        Live& r = live[q.id];
-        r = Live{};
-        r.id = q.id;
-        r.cls = classes[index];
-        r.most_attempts = set.attempts.value_or(2);
-        r.group = q.group;
-        r.session = q.session;
+        Live& r = live[q.id] = Live{q.id, classes[index], set.attempts.value_or(2), q.group, q.session};
         r.arrived = now;
         r.draw = chance();
         r.deadline = now + q.patience;
         r.aim = std::min(now + c.aim - passed(c, q.patience), r.deadline);
         Group& g = groups[q.group];
         if (c.consistency == Consistency::session) r.token = token_for(q);
+        probe_credit = std::min(probe_credit + 1 / std::max(probes_cost(), 0.1), kProbeCredit);
         use(g, r);
-        if (r.deadline <= now + kAnswerMargin || !admitted(g, r) || (c.late_share <= 0 && r.aim <= now)) {
+        if (r.deadline <= now + kAnswerMargin || (c.late_share <= 0 && r.aim <= now)) {
             conclude(r);  // no answer could earn anything any more
             return;
         }
@@ -385,14 +369,12 @@
     void use(Group& g, const Live& r) {
         if (!g.first_use) {
             g.first_use = now;
-            // Exception: where proxies are many, each sees little of a group: it asks the listed primary and
-            // a few others by chance. The rest is tried when those don't do.
+            // Exception: where probes have a price, the listed primary and a few others by chance. The rest
+            // is tried when those don't do.
             std::vector<Member*> some = g.members;
-            if (fleet() > kFewProxies) {
-                std::shuffle(some.begin(), some.end(), random);
-                std::partition(some.begin(), some.end(), [](Member* m) { return !!m->primary_as_of; });
-                some.resize(std::min(some.size(), kFirstProbes));
-            }
+            std::shuffle(some.begin(), some.end(), random);
+            std::partition(some.begin(), some.end(), [](Member* m) { return !!m->primary_as_of; });
+            if (probes_cost() > 0) some.resize(std::min(some.size(), kFirstProbes));
             for (Member* m : some) probe(*m);
         }
         if (needed(r)) {
@@ -409,16 +391,8 @@
     // Exception: probing at the bound's pace is for groups in steady use, whose reads come at least as fast
     // as such probes would. Any other has lapsed to first use: a read that needs a position asks one replica.
     bool steady(const Group& g) const {
-        return reads(g) * ms(probe_every) >= ms(kUseMemory) * double(g.members.size() - 1);
-    }
-
-    // Admission control. Guards a group that can't do what is asked of it (members lost, slow or cold, a
-    // burst) against a queue in which every read is late: where proxies are many, each has a request or two
-    // out there, which no window bounds, but all see their few answers come late and let in a smaller share.
-    // Could do harm where answers are slow for a reason that less work doesn't mend; the least share feels
-    // for better times.
-    bool admitted(const Group& g, const Live& r) const {
-        return fleet() <= kFewProxies || r.for_primary() || r.draw <= g.admit;
+        return reads(g) * ms(probe_every) >=
+               ms(kUseMemory) * double(g.members.size() - 1) * std::max(1.0, probes_cost());
     }
 
     // Time that a client's earlier tries have used up. Most tries come with one usual patience; any other is
@@ -579,8 +553,7 @@
             if (m.trouble != Trouble::none && (m.trouble != Trouble::erring || s == Status::ok)) recover(m);
         }
         if (answered || s == Status::reset) {
-            m.error_share +=
-                kErrorGain * ((s == Status::error || s == Status::reset ? 1 : 0) - m.error_share);
+            m.error_share += kErrorGain * ((s == Status::error || s == Status::reset) - m.error_share);
             if (m.error_share > kErrorTrip) trip(m, Trouble::erring);
         }
         if (s == Status::unreachable) trip(m, Trouble::unreachable);
@@ -605,11 +578,6 @@
             m.usual_ms += (m.usual_ms > 0 ? kStrainGain : 1) * (took - m.usual_ms);
         }
         double aim = std::max(1.0, ms(c.aim));
-        if (c.consistency != Consistency::write && c.consistency != Consistency::fresh) {
-            double& admit = groups[m.group].admit;
-            double over = std::min(took / aim, kAdmitWorst) - kAdmitStrain;
-            admit = std::clamp(admit * std::exp(-kAdmitGain * over), kAdmitLeast, 1.0);
-        }
         m.strain += kStrainGain * (std::min(took / aim, 2.0) - m.strain);
         if (m.strain > kStrainShrink) {
             cut(m, kShrink);
@@ -665,7 +633,7 @@
 
     // The part of its full work that a member can surely do now.
     double ready_share(const Member& m) const {
-        double from = set.cold_from.value_or(0), care = fleet() <= kFewProxies ? kColdCareFew : kColdCare;
+        double from = set.cold_from.value_or(0), care = kColdCare * set.fall_multiple.value_or(1);
         return care * (from + (1 - from) * std::max(0.0, ms(now - *m.started) / ms(*set.ramp)));
     }
 
@@ -736,7 +704,7 @@
         std::optional<Time> need = needed(r);
         std::vector<Member*> fit;
         for (Member* m : up)
-            if (!need || passes(*m, *need)) fit.push_back(m);
+            if (!need || passes(*m, *need) || (checked() && expected(*m, *need))) fit.push_back(m);
         if (fit.empty()) return choose_unfit(g, r, up);
         // Ping, then room, then chance.
         Duration nearest = ping(*fit.front());
@@ -755,6 +723,11 @@
     }
 
     static bool passes(const Member& m, Time need) { return m.position && *m.position >= need; }
+    // Exception: where members check, what one was last known to lag by stands until it tells otherwise.
+    // Guards the one that a proxy has heard of last against all its reads.
+    bool expected(const Member& m, Time need) const {
+        return m.position && *m.position + (now - m.told_at) >= need;
+    }
     // No replica is known to pass.
     Choice choose_unfit(const Group& g, Live& r, const std::vector<Member*>& up) {
         bool bounded = r.cls->consistency == Consistency::bounded;
@@ -764,6 +737,7 @@
         bool hope = now < *g.first_use + kFirstHold || g.members.empty() || !hopeful.empty();
         std::erase_if(hopeful, [&](Member* m) { return !room(*m, g, r, 1); });
         if (checked() && r.attempts.empty()) {
+            std::shuffle(hopeful.begin(), hopeful.end(), random);  // unknown to a fleet, the first is no better
             Member* least = nullptr;
             for (Member* m : hopeful)
                 if (!(r.token > Time{} && falls_short(*m, r.token)) &&
@@ -779,7 +753,7 @@
                 r.asked = hopeful[random() % hopeful.size()];
                 r.asked_at = now;
                 ++r.asks;
-                probe(*r.asked);
+                probe(*r.asked, true);
                 return {Verdict::wait};
             }
         }
@@ -1010,8 +984,12 @@
             trip(m, Trouble::silent);
     }
 
-    void probe(Member& m) {
-        if (!may_probe() || m.probing || !m.listed) return;
+    // Guards against probes that grow with proxies times members: what they cost the fleet is paid for by
+    // the requests of the proxy that sends them, but for those that a read in hand asks for.
+    void probe(Member& m, bool asked = false) {
+        bool paid = !asked && probes_cost() > 0;
+        if (!may_probe() || m.probing || !m.listed || (paid && probe_credit < 1)) return;
+        if (paid) probe_credit -= 1;
         m.probing = true;
         m.probe_sent = now;
         act(Probe{m.id});
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -137,6 +137,7 @@
     s.ramp = duration(line, "safety.rampTimeMs");
     s.fall_multiple = number(line, "safety.fallMultiple");
     s.fall_window = duration(line, "safety.fallMs");
+    s.probe_price = number(line, "tariffs.probe");
     auto needs = split(line.find("familyInfo.consistency").value_or(""), ',');
     auto bounds = split(line.find("familyInfo.oldestDataMs").value_or(""), ',');
     std::uint64_t count = to_count(line.find("classes.count").value_or("0"));
