New replicas get bounded reads unheard of, those that missed are left to catch up

At fault, in src/brain.cpp: expected(), which took a member never heard of as unfit for bounded reads for good, and choose_unfit(), which sent bounded reads to the least behind again right after its miss.

Changed: a new member counts as one with a copy of 8 s that catches up at twice the pace of time; one that was behind is tried again when it may be a second better than needed.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -42,6 +42,9 @@
 constexpr Duration kAskLeast = milliseconds(5);
 constexpr Duration kMemberWait = milliseconds(50);  // members that wait for the log do so about this long
 constexpr int kSessionAsks = 2;  // replicas asked for a session read before it goes to the primary
+constexpr int kCatchUp = 2;      // a member that is behind applies the log about so much faster than time
+constexpr Duration kMissRest = seconds(1);  // longer is waited, since misses keep it from catching up
+constexpr Duration kCopyAge = seconds(8);  // and a new one begins with a copy that may be so old
 
 // Windows: how many requests this proxy has out at a member.
 constexpr double kWindowStart = 6;        // a few a core on small machines: neither starves nor floods
@@ -723,21 +726,25 @@
     }
 
     static bool passes(const Member& m, Time need) { return m.position && *m.position >= need; }
-    // Exception: where members check, what one was last known to lag by stands until it tells otherwise.
-    // Guards the one that a proxy has heard of last against all its reads.
+    // Exception: where members check, what one was last known to lag by grows less from then on, and is tried
+    // again when it may do. Guards the one that a proxy has heard of last against all its reads, and gives
+    // new ones a part of them.
     bool expected(const Member& m, Time need) const {
-        return m.position && *m.position + (now - m.told_at) >= need;
+        if (m.position && *m.position + (now - m.told_at) >= need) return true;
+        if (m.position) return *m.position + kCatchUp * (now - m.told_at) >= need + kMissRest;
+        return m.started && *m.started - kCopyAge + kCatchUp * (now - *m.started) >= need;
     }
     // No replica is known to pass.
     Choice choose_unfit(const Group& g, Live& r, const std::vector<Member*>& up) {
         bool bounded = r.cls->consistency == Consistency::bounded;
         std::vector<Member*> hopeful;  // what is known of them is merely old
         for (Member* m : up)
-            if (!(bounded && surely_behind(*m, r.cls->bound))) hopeful.push_back(m);
+            if (!bounded || !(surely_behind(*m, r.cls->bound) || (checked() && m->position)))
+                hopeful.push_back(m);
         bool hope = now < *g.first_use + kFirstHold || g.members.empty() || !hopeful.empty();
         std::erase_if(hopeful, [&](Member* m) { return !room(*m, g, r, 1); });
         if (checked() && r.attempts.empty()) {
-            std::shuffle(hopeful.begin(), hopeful.end(), random);  // unknown to a fleet, the first is no better
+            std::shuffle(hopeful.begin(), hopeful.end(), random);
             Member* least = nullptr;
             for (Member* m : hopeful)
                 if (!(r.token > Time{} && falls_short(*m, r.token)) &&
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -850,7 +850,7 @@
     EXPECT_EQ(seen.size(), 4u);
 }
 
-// Each proxy sees few answers of a group. Some are late for the work of the request alone: to let in fewer reads
+// Each proxy sees few answers of a group, some late for the work of the request alone: to let in fewer reads
 // for that refused one in five of a whole fleet, whose members had room.
 TEST(LargeFleet, LateAnswersOfAFewRequestsRefuseNoReads) {
     Settings s = usual();
@@ -864,3 +864,48 @@
         bed.end(id, Status::ok, Role::replica, bed.now);
     }
 }
+
+// Misses keep a replica that lags from catching up: a fleet sent one 110 reads a second, and it served 40.
+TEST(LargeFleet, AReplicaThatMissedIsLeftToCatchUp) {
+    Settings s = usual();
+    s.probes = false;
+    s.server_check = ServerCheck::wait;
+    s.classes[kRead].bound = 3s;
+    Bed bed(s);
+    bed.group(2);
+    RequestId first = bed.ask(kRead);
+    ASSERT_EQ(bed.target(first), MemberId{1});
+    bed.end(first, Status::miss, Role::replica, bed.now - 3500ms);
+    int sent = 0;
+    for (Time from = bed.now; bed.now < from + 1300ms; bed.run(50ms))
+        sent += bed.last(bed.ask(kRead)) != nullptr;
+    EXPECT_EQ(sent, 0);
+    bed.run(400ms);
+    EXPECT_NE(bed.last(bed.ask(kRead)), nullptr);
+}
+
+// Hosts that took the places of others got no bounded reads from proxies that had not heard of them.
+TEST(LargeFleet, ANewReplicaGetsItsPartOfBoundedReadsBeforeItIsHeardOf) {
+    Settings s = usual();
+    s.probes = false;
+    s.server_check = ServerCheck::wait;
+    s.classes[kRead].bound = 3s;
+    Bed bed(s);
+    bed.group(3);
+    for (std::uint32_t m : {1, 2})
+        bed.give(ProbeResult{MemberId{m}, Status::ok, 1ms, Report{bed.now, false, {}, {}, {}}});
+    bed.list(ListKind::changes, {Bed::entry(3, MemberState::ready, bed.now)});
+    std::map<MemberId, int> early, later;
+    auto reads = [&](std::map<MemberId, int>& count) {
+        for (int i = 0; i < 200; ++i) {
+            RequestId id = bed.ask(kRead);
+            ++count[bed.target(id)];
+            bed.end(id, Status::ok);
+        }
+    };
+    reads(early);
+    EXPECT_EQ(early[MemberId{3}], 0);  // its copy may be some seconds old
+    bed.now += 8s;
+    reads(later);
+    EXPECT_GT(later[MemberId{3}], 20);
+}
