Emulator: a price of probes, hosts that check, and fleets of 3 to 200 poolers

Need: what only a sum over poolers shows (probes, connections, cold hosts, a mass kill) had no test that runs without the bench.

Change: FleetOptions has probe_price and checked; two tests, the auditor on: probes and connections a request at 3, 10, 30, 100 and 200 poolers, and 100 poolers through a mass kill, a third lost and back cold, and six in ten hosts gone at once, slow hosts among them.

--- a/src/lab/fleet.cpp
+++ b/src/lab/fleet.cpp
@@ -70,7 +70,7 @@
 
   private:
     void answer(Result result);
-    void work(const Item& item, Time sent);
+    void work(const Item& item, std::optional<std::int64_t> needs);
     World& world_;
     std::uint32_t pooler_;
     Host& host_;
@@ -290,7 +290,7 @@
                           });
 }
 
-void FleetLink::submit(const Item& item, Duration, std::optional<std::int64_t>) {
+void FleetLink::submit(const Item& item, Duration, std::optional<std::int64_t> needs) {
     ++world_.summary.attempts;
     request_ = item.id;
     Time sent = world_.timeline.now();
@@ -302,12 +302,12 @@
         world_.auditor.started(host_.number, sent, double(world_.options.cores));
         for (int i = 0; i < 2000; ++i) world_.auditor.work(host_.number, 50ms, sent);
     }
-    world_.timeline.after(world_.options.one_way, Rank::world, [weak = weak_from_this(), item, sent] {
-        if (auto self = weak.lock()) self->work(item, sent);
+    world_.timeline.after(world_.options.one_way, Rank::world, [weak = weak_from_this(), item, needs] {
+        if (auto self = weak.lock()) self->work(item, needs);
     });
 }
 
-void FleetLink::work(const Item& item, Time) {
+void FleetLink::work(const Item& item, std::optional<std::int64_t> needs) {
     if (!owner_ || life_ != host_.life) return;
     const ClassOptions& c = world_.options.classes[std::size_t(item.cls)];
     Result r;
@@ -322,6 +322,10 @@
         r.status = Status::miss;
         return now(r);
     }
+    if (world_.options.checked && needs && !host_.primary && *r.position_unix_us / 1000 < *needs) {
+        r.status = Status::miss;
+        return now(r);
+    }
     Duration amount(std::int64_t(double(c.work.count()) * world_.work.between(0.5, 1.5)));
     job_ = world_.take(host_, amount, [weak = weak_from_this(), write = c.read == Consistency::write] {
         auto self = weak.lock();
@@ -404,7 +408,8 @@
     s.longest_retry_after = 2s;
     s.attempts = 10;
     s.tokens = starlingpond::TokenSource::remembered;
-    s.server_check = starlingpond::ServerCheck::none;
+    s.server_check = options.checked ? starlingpond::ServerCheck::refuse : starlingpond::ServerCheck::none;
+    s.probe_price = options.probe_price;
     s.cold_from = options.cold_from;
     s.ramp = options.ramp;
     s.fall_multiple = 2.5;
--- a/src/lab/fleet.hpp
+++ b/src/lab/fleet.hpp
@@ -44,7 +44,8 @@
     std::vector<ClassOptions> classes;
     Duration one_way = std::chrono::microseconds(700), ship = std::chrono::milliseconds(10);
     Duration told_late = std::chrono::milliseconds(800);  // discovery
-    double cold_from = 0.2;
+    double cold_from = 0.2, probe_price = 0;
+    bool checked = false;  // hosts turn reads away that they are too far behind for
     Duration ramp = std::chrono::seconds(17);
     unsigned retries = 0;  // of a client, at once
     bool cancels = true;   // a host drops what was cancelled while it waited
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -136,5 +136,45 @@
     CHECK(s.goodput() > 0.8);
 }
 
+// Sixty hosts and the same traffic before ever more poolers: a third of the hosts goes and comes back cold.
+FleetOptions large(unsigned poolers) {
+    FleetOptions o = usual_fleet();
+    o.poolers = poolers, o.groups = 12, o.members = 5;
+    o.rate = 1400, o.seconds = 8, o.sessions = 5000;
+    o.probe_price = 0.08, o.checked = true;
+    o.troubles = {{Trouble::Kind::kill, 2, 3, 1, 0.33}};
+    return o;
+}
+
+TEST_CASE("large fleet: probes and connections a request do not grow with the poolers beyond a host each") {
+    for (unsigned poolers : {3u, 10u, 30u, 100u, 200u}) {
+        Summary s = run(large(poolers));
+        double probes = double(s.probes) / double(s.requests),
+               connects = double(s.connects) / double(s.requests);
+        MESSAGE(poolers, " poolers: probes a request ", probes, ", connections ", connects,
+                ", worth in time ", s.goodput());
+        CHECK(rules(s) == "");
+        // 0.19 a request by its price, and ten that each pooler starts with.
+        CHECK(probes < 0.2 + 10.0 * poolers / double(s.requests));
+        // Each pooler to each host, and what its requests in hand at once need; the third that went, anew.
+        CHECK(connects < 0.3 + 2.0 * 60 * poolers / double(s.requests));
+    }
+}
+
+TEST_CASE(
+    "large fleet: rules hold through a mass kill, a lost third that returns cold, and six in ten replaced") {
+    for (std::uint64_t seed : {1, 2})
+        for (auto trouble :
+             {Trouble{Trouble::Kind::restart, 2, 0, 1, 0.7}, Trouble{Trouble::Kind::kill, 2, 3, 1, 0.33},
+              Trouble{Trouble::Kind::kill, 2, 2, 1, 0.6}}) {
+            FleetOptions o = large(100);
+            o.seed = seed;
+            o.troubles = {trouble, {Trouble::Kind::gray, 3, 4, 8, 0.1}};
+            Summary s = run(o);
+            CHECK(rules(s) == "");
+            CHECK(s.goodput() > 0.4);
+        }
+}
+
 }  // namespace
 }  // namespace indigovane::lab
