--- a/src/routing/core.cpp
+++ b/src/routing/core.cpp
@@ -8,6 +8,8 @@
 using std::chrono::milliseconds;
 
 namespace {
+constexpr Duration kTellEvery = std::chrono::seconds(5);  // the ledger
+constexpr Duration kAtOnce = milliseconds(5);
 // Closed this long before the member would: a request that crosses its closing could have run.
 constexpr double kIdleShare = 0.8;
 // Of a request's time. An attempt that still waits for a connection then ends as one that never ran, so that
@@ -55,6 +57,7 @@
     q.repeat = item.repeat;
     Entry& entry = entries_[id];
     entry.arrived = now;
+    ++(item.repeat ? ledger_.repeated : ledger_.first);
     entry.deadline = now + item.patience;
     entry.bytes = item.statement.size() + item.name.size() + (item.content ? item.content->size() : 0);
     held_bytes_ += entry.bytes;
@@ -98,6 +101,7 @@
 }
 
 void Core::list(ListKind kind, const std::vector<MemberInfo>& infos) {
+    ++ledger_.lists;
     List list{kind, {}};
     std::unordered_set<std::uint32_t> named;
     for (const MemberInfo& info : infos) {
@@ -223,6 +227,7 @@
     if (job.probe) {
         if (m && (!m->probe || !m->probe->same(job))) return;
         if (m) m->probe.reset();
+        if (result.status != Status::ok) ++ledger_.probes_unanswered;
         inbox_.push_back(ProbeResult{id, result.status, now - job.sent, report});
         wake();
         return;
@@ -231,6 +236,7 @@
     if (it == entries_.end()) return;
     Entry& entry = it->second;
     entry.attempts.at(job.number).out = false;
+    ++ledger_.ended[std::size_t(result.status)];
     if (entry.begun) {
         // What stands behind a long value is as old as its beginning: it tells nothing of the present, but
         // for a commit, which is a time of its own.
@@ -322,6 +328,7 @@
         return false;
     }
     ++links_;
+    ++ledger_.connections;
     return true;
 }
 
@@ -344,6 +351,7 @@
         swept_ = now;
         sweep(now);
     }
+    if (now >= told_ + kTellEvery) tell(now);
     std::vector<Event> batch;
     std::swap(batch, inbox_);
     std::vector<RequestId> told = std::exchange(done_, {});
@@ -381,6 +389,12 @@
     }
 }
 
+void Core::tell(Time now) {
+    told_ = now;
+    if (!ledger_.empty()) logger_.log(Level::info, "ledger", "since the line before", ledger_.data());
+    ledger_ = {};
+}
+
 void Core::carry_out(const Action& action) {
     std::visit([this](const auto& a) { act(a); }, action);
 }
@@ -402,6 +416,7 @@
     job.until = send.timeout ? std::min(entry.deadline, job.sent + *send.timeout) : entry.deadline;
     if (send.needs) job.needs = clock_.to_unix(*send.needs) / 1000;
     bool second = entry.out();
+    ++ledger_.sent;
     entry.attempts.push_back({job, send.member, true});
     if (m) ++m->attempts;
     if (second || !entry.responder || !m) {
@@ -446,6 +461,12 @@
 void Core::finish(RequestId id, const Ending& ending) {
     auto it = entries_.find(id);
     if (it == entries_.end() || !it->second.responder || it->second.begun) return;
+    if (ending.kind == Ending::Kind::refused) {
+        ++ledger_.refused;
+        if (clock_.now() - it->second.arrived < kAtOnce) ++ledger_.refused_at_once;
+    } else {
+        ++ledger_.failed;
+    }
     Responder* responder = std::exchange(it->second.responder, nullptr);
     responder->ended(ending);
     forget_if_done(id);
@@ -473,6 +494,7 @@
         return;
     }
     if (m->probe) return;
+    ++ledger_.probes;
     job.number = m->probes++;
     job.until = job.sent + limits_.probe_timeout;
     m->probe = job;
--- a/src/routing/core.hpp
+++ b/src/routing/core.hpp
@@ -12,6 +12,7 @@
 #include <unordered_set>
 
 #include "routing/interfaces.hpp"
+#include "routing/ledger.hpp"
 #include "routing/pool.hpp"
 
 namespace indigovane::routing {
@@ -133,6 +134,7 @@
     void leave(Member& m);
     bool close_oldest_idle();
     void sweep(Time now);
+    void tell(Time now);
     void carry_out(const starlingpond::Action& action);
     void act(const starlingpond::Send& send);
     void act(const starlingpond::Cancel& cancel);
@@ -174,7 +176,8 @@
     std::priority_queue<Alarm, std::vector<Alarm>, std::greater<>> alarms_;
     std::uint64_t next_request_ = 1, next_alarm_ = 0;
     std::optional<Time> armed_;
-    Time swept_{};
+    Time swept_{}, told_{};
+    Ledger ledger_;
     std::size_t links_ = 0, held_bytes_ = 0;
     bool woken_ = false, starved_ = false, serve_due_ = false;
 };
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -346,6 +346,10 @@
         }
         CHECK((backend.opened.size() > 1) == (cls == 1));
         CHECK((backend.opened.front() == "0") == (cls == 2));
+        CHECK(logger.lines["ledger"] < 2);
+        clock.at += 6s;
+        core.run_batch();
+        CHECK(logger.lines["ledger"] > 0);  // what it did is told some seconds later, in one line
     }
 }
 
