Zero is no figure for what pushes a cold host over; huge, doubled and empty lists tested

Seen while testing settings of zero: fall_multiple = 0 made the share of every cold member 0 for its whole ramp, so a group that came back cold was sent nothing (State::ready_share, multiplied since the cold share follows from that setting).

Change: zero or less counts as absent. Tests: settings of zero and absent ones (fails without the change), a list of 10,000 members with doubles, 700 changes in one, an empty list.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -638,7 +638,8 @@
 
     // The part of its full work that a member can surely do now.
     double ready_share(const Member& m) const {
-        double from = set.cold_from.value_or(0), care = kColdCare * set.fall_multiple.value_or(1);
+        double from = set.cold_from.value_or(0), multiple = set.fall_multiple.value_or(0);
+        double care = kColdCare * (multiple > 0 ? multiple : 1);  // zero is no figure: nothing would be sent
         return care * (from + (1 - from) * std::max(0.0, ms(now - *m.started) / ms(*set.ramp)));
     }
 
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -909,3 +909,49 @@
     reads(later);
     EXPECT_GT(later[MemberId{3}], 20);
 }
+
+// Zero or absent numbers are no figures: nothing is divided by them, and nobody is starved for them.
+TEST(LargeFleet, ZeroAndAbsentNumbersInTheSettingsStarveNobody) {
+    for (bool absent : {false, true}) {
+        Settings s = usual();
+        s.fleet_size = 0, s.probe_price = 0, s.cold_from = 0.5, s.ramp = 0ms, s.fall_multiple = 0;
+        if (absent) s.fleet_size.reset(), s.probe_price.reset(), s.ramp.reset(), s.fall_multiple.reset();
+        for (Duration ramp : {0ms, 10000ms}) {
+            if (!absent) s.ramp = ramp;
+            Bed bed(s);
+            bed.group(3);
+            for (std::uint32_t m : {0, 1, 2})
+                bed.list(ListKind::changes, {Bed::entry(m, MemberState::ready, bed.now)});
+            int sent = 0;
+            for (int i = 0; i < 200; ++i) {
+                RequestId id = bed.ask(kAny);
+                sent += bed.last(id) != nullptr;
+                bed.end(id, Status::ok);
+            }
+            EXPECT_GT(sent, 20);
+        }
+    }
+}
+
+// A list of 10,000 members, some named twice, then hundreds of changes in one, then one that is empty.
+TEST(LargeFleet, AHugeListIsTakenInOneGoAndAnEmptyOneLeavesNothingToSendTo) {
+    Bed bed;
+    std::vector<ListEntry> entries;
+    for (std::uint32_t i = 0; i < 10000; ++i) {
+        entries.push_back(Bed::entry(i));
+        entries.back().group = GroupId{i / 5};
+        entries.back().primary = i % 5 == 0;
+        if (i % 7 == 0) entries.push_back(entries.back());
+    }
+    bed.list(ListKind::full, entries);
+    RequestId id = bed.ask(kAny, 1s, std::nullopt, std::nullopt, 1999);
+    EXPECT_GE(std::uint32_t(bed.target(id)), 9995u);
+    EXPECT_LE(bed.probes, 5);  // of its group alone
+    bed.done(id);
+    for (ListEntry& e : entries) e.state = MemberState::gone;
+    bed.list(ListKind::changes, std::vector<ListEntry>(entries.begin(), entries.begin() + 700));
+    EXPECT_EQ(bed.last(bed.ask(kAny, 1s, std::nullopt, std::nullopt, 3)), nullptr);
+    EXPECT_NE(bed.last(bed.ask(kAny, 1s, std::nullopt, std::nullopt, 1999)), nullptr);
+    bed.list(ListKind::full, {});
+    EXPECT_EQ(bed.last(bed.ask(kAny, 1s, std::nullopt, std::nullopt, 1999)), nullptr);
+}
