Fronts: words of clients and the answer 'too much in hand' stand once; News::written is gone

Change: src/adapters/words.hpp, PgSession::too_much(); the kind and its case are gone. No behaviour and no assertion changes.

--- a/src/adapters/pg_front.cpp
+++ b/src/adapters/pg_front.cpp
@@ -1,8 +1,8 @@
 #include "adapters/pg_front.hpp"
 
 #include <algorithm>
-#include <charconv>
 
+#include "adapters/words.hpp"
 #include "protocol/pg.hpp"
 
 namespace indigovane::adapters {
@@ -20,14 +20,6 @@
 constexpr std::uint32_t kRowsLimit = 10000;               // of a page
 constexpr std::uint32_t kByteaType = 17, kTextType = 25;
 
-template <typename T>
-std::optional<T> whole(std::string_view text) {
-    T value{};
-    auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (error != std::errc() || end != text.data() + text.size()) return std::nullopt;
-    return value;
-}
-
 bool word(std::string_view text, std::string_view expected) {
     return text.size() >= expected.size() &&
            std::equal(expected.begin(), expected.end(), text.begin(),
@@ -35,12 +27,6 @@
            (text.size() == expected.size() || !std::isalnum(std::uint8_t(text[expected.size()])));
 }
 
-bool plain(std::string_view text) {
-    return std::all_of(text.begin(), text.end(), [](char c) {
-        return std::isalnum(std::uint8_t(c)) || std::string_view("-_.:").find(c) != std::string_view::npos;
-    });
-}
-
 struct Rejection {
     std::string_view code;
     std::string text;
@@ -184,16 +170,17 @@
         if (is_open(item.id))
             return reject({pg::sqlstate::invalid_parameter, "a request of this id is in hand"});
         // The item keeps the statement and what was read from it.
-        if (!has_room(sql.size() + std::min(sql.size(), kUsualMessage))) {
-            write(pg::Writer()
-                      .error("ERROR", pg::sqlstate::too_many_connections, "too much is in hand", "250")
-                      .ready()
-                      .take());
-            return;
-        }
+        if (!has_room(sql.size() + std::min(sql.size(), kUsualMessage))) return too_much();
         ask(std::move(item));
     }
 
+    void too_much() {
+        write(pg::Writer()
+                  .error("ERROR", pg::sqlstate::too_many_connections, "too much is in hand", "250")
+                  .ready()
+                  .take());
+    }
+
     void empty() {
         if (refusing())
             return write(pg::Writer()
@@ -230,13 +217,7 @@
         if (auto rejection = read_open(sql, s, j, item)) return reject(*rejection);
         if (is_open(item.id))
             return reject({pg::sqlstate::invalid_parameter, "a request of this id is in hand"});
-        if (!has_room(2 * sql.size())) {
-            write(pg::Writer()
-                      .error("ERROR", pg::sqlstate::too_many_connections, "too much is in hand", "250")
-                      .ready()
-                      .take());
-            return;
-        }
+        if (!has_room(2 * sql.size())) return too_much();
         ask(std::move(item));
     }
 
--- a/src/adapters/rest_front.cpp
+++ b/src/adapters/rest_front.cpp
@@ -1,10 +1,10 @@
 #include "adapters/rest_front.hpp"
 
 #include <algorithm>
-#include <charconv>
 #include <nlohmann/json.hpp>
 
 #include "adapters/rest.hpp"
+#include "adapters/words.hpp"
 #include "protocol/http.hpp"
 
 namespace indigovane::adapters {
@@ -23,20 +23,6 @@
     std::string type, title, detail;
 };
 
-template <typename T>
-std::optional<T> whole(std::string_view text) {
-    T value{};
-    auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-    if (error != std::errc() || end != text.data() + text.size()) return std::nullopt;
-    return value;
-}
-
-bool plain(std::string_view text) {  // fit for a statement's comment and a header field
-    return std::all_of(text.begin(), text.end(), [](char c) {
-        return std::isalnum(std::uint8_t(c)) || std::string_view("-_.:").find(c) != std::string_view::npos;
-    });
-}
-
 class RestSession : public Session {
   public:
     RestSession(boost::asio::io_context& io, RestFront& front, Intake& intake)
--- a/src/store/store.hpp
+++ b/src/store/store.hpp
@@ -39,7 +39,6 @@
 
 struct News {
     enum class Kind : std::uint8_t {
-        written,  // handed to the machine: it outlasts the process
         durable,  // every order up to this ticket is on disk
         failing,  // nothing is written any more; the owner goes on in memory
         able,     // the disk takes something again: the owner is to begin a new generation
