--- a/src/store/store.cpp
+++ b/src/store/store.cpp
@@ -176,8 +176,6 @@
 void Store::news(News&& n) {
     if (n.bytes > 0) log_bytes_ = n.bytes;
     switch (n.kind) {
-        written_ = std::max(written_, n.ticket);
-        return;
         case News::Kind::durable:
             written_ = std::max(written_, n.ticket);
             durable_ = std::max(durable_, n.ticket);
