Module: of replicas not known to pass, session reads ask the one with the shortest lag

The cause is falls_short(), which took a lag told seconds ago for proof.

Change: falls_short() believes a lag for 400 ms, as before; expected() and the pick among unfit replicas still go by the lag last told and not by what might have been caught up since.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -41,7 +41,6 @@
 constexpr double kAskPings = 3;  // an asked member that takes so many pings longer is passed over
 constexpr Duration kAskLeast = milliseconds(5);
 constexpr Duration kMemberWait = milliseconds(50);  // members that wait for the log do so about this long
-constexpr int kLagFall = 4;      // a lag lasts: it falls by a fourth of the time since it was told at most
 constexpr int kSessionAsks = 2;  // replicas asked for a session read before it goes to the primary
 constexpr int kCatchUp = 2;      // a member that is behind applies the log about so much faster than time
 constexpr Duration kMissRest = seconds(1);  // longer is waited, since misses keep it from catching up
@@ -685,13 +684,11 @@
         return m.position && now - m.told_at < kReportAge && m.told_at - *m.position > bound + kReportAge;
     }
 
-    // With the lag last told. Even if that has fallen since, and the member waits for the rest, one that
-    // falls short won't reach the position in time: asking it costs a session read its wait, or an answer
-    // too old to be passed on. Could do harm where lags are gone as soon as told: the primary gets more.
+    // With the lag last told. Even if the member waits for the rest, one that was just told to fall short
+    // won't reach the position in time.
     Time stands(const Member& m) const { return m.position ? *m.position + (now - m.told_at) : Time{}; }
     bool falls_short(const Member& m, Time need) const {
-        Time most = stands(m) + (now - m.told_at) / kLagFall + kMemberWait;
-        return need > Time{} && m.position && most < need;
+        return need > Time{} && m.position && now - m.told_at < kReportAge && stands(m) + kMemberWait < need;
     }
 
     Choice choose(const Group& g, Live& r) {
