Emulator: a deployment whose lists are asked for and whose hosts tell of no lag

Change: station_fleet(): lists asked of one service that takes three calls a second and fails what waits for a second, drains of 1 s, bounds of 300 ms, cold hosts from 0.18 that fall at twice what they can do within 1.5 s, tokens carried, no positions in answers, cores told by probes, a log whose one thread shares the cores with the reads; troubles: discovery out of reach, one hot caller. The auditor takes its limits from the options.

--- a/src/lab/auditor.cpp
+++ b/src/lab/auditor.cpp
@@ -83,6 +83,11 @@
     known = std::max(known, commit);
 }
 
+Time Auditor::commit(std::uint64_t session) const {
+    auto it = commits_.find(session);
+    return it == commits_.end() ? Time{} : it->second;
+}
+
 void Auditor::started(std::uint32_t host, Time now, double capacity) {
     cold_[host] = {now, capacity, {}};
 }
--- a/src/lab/auditor.hpp
+++ b/src/lab/auditor.hpp
@@ -35,6 +35,7 @@
     void refused(const std::string& request, Time now);
     void left(const std::string& request);                        // the client is gone: nothing is owed
     void committed(std::uint64_t session, Time commit);           // its client has heard of it
+    Time commit(std::uint64_t session) const;                     // its last, none: the beginning
     void started(std::uint32_t host, Time now, double capacity);  // cold; capacity: work a second when warm
     void work(std::uint32_t host, Duration work, Time now);       // sent to it
     void ended(Time now);                                         // everything is over: what is owed still?
--- a/src/lab/fleet.cpp
+++ b/src/lab/fleet.cpp
@@ -42,7 +42,8 @@
     // Of a replica. Behind: it stands still until it is so far behind. Catching up: four times as fast as
     // time.
     enum class Log { current, behind, catching_up } log = Log::current;
-    Time stood{}, since{};  // at that position, since then
+    Time stood{}, since{};         // at that position, since then
+    Time applied{}, applied_at{};  // where options.apply_use counts: the position, and when it was reckoned
     Duration behind{};
     std::optional<Time> started;  // none: long ago
     std::size_t busy = 0, links = 0;
@@ -86,6 +87,7 @@
     Pooler(World& world, std::uint32_t number, std::uint64_t seed);
     routing::Core core;
     const std::uint32_t number;
+    bool follows = false;  // the list's changes
 
   private:
     void wake() override;
@@ -105,7 +107,12 @@
         : options(o),
           timeline(o.permutation),
           clock(timeline),
-          auditor({.cold_from = o.cold_from, .ramp = o.ramp}),
+          auditor({.drain = o.drain_grace + 50ms,
+                   .bound = o.bound + 50ms,
+                   .cold_from = o.cold_from,
+                   .fall_multiple = o.fall_multiple,
+                   .ramp = o.ramp,
+                   .fall_window = o.fall_window}),
           traffic(o.seed, kTraffic),
           work(o.seed, kWork),
           troubles(o.seed, kTroubles) {}
@@ -137,7 +144,20 @@
             case Host::Log::catching_up:
                 return std::min(current, h.stood + (timeline.now() - h.since) * 4);
         }
-        return current;
+        return options.apply_use > 0 ? std::min(current, applied(h)) : current;
+    }
+    // The log's one thread shares the cores with all that is in hand, and catches up no faster than it can.
+    Time applied(const Host& h) const {
+        double others = double(h.busy + h.queue.size()), cores = double(options.cores);
+        double pace = std::min(1.0, cores / (others + 1)) / options.apply_use;
+        Time at = h.applied + Duration(std::int64_t(double((timeline.now() - h.applied_at).count()) * pace));
+        return std::min(at, timeline.now());
+    }
+    // Before what is in hand changes.
+    void reckon(Host& h) const {
+        if (options.apply_use <= 0) return;
+        h.applied = applied(h);
+        h.applied_at = timeline.now();
     }
     Duration time_of(const Host& h, Duration work) const {
         double warm = 1;
@@ -152,6 +172,7 @@
     void begin(Host& h, Duration amount, std::function<void()> done);
     routing::MemberInfo info(const Host& h) const;
     void tell(const Host& h);
+    void follow(Pooler& p);  // asks for the list's changes
 
   private:
     // One try of a client. Ends with one call; what is refused may be tried again.
@@ -178,11 +199,15 @@
     void kill(Host& h);
     void revive(Host& h);
     double rate_now() const { return options.rate * jump_; }
+    void add(Pooler& p);
+    void whole_list(Pooler& p);
 
     std::unordered_map<std::uint64_t, std::unique_ptr<Try>> tries_;
     std::vector<std::unique_ptr<Pooler>> ended_poolers_;
     std::uint64_t ids_ = 0;
-    double jump_ = 1;
+    double jump_ = 1, caller_ = 0;
+    bool blind_ = false;
+    Time service_free_{};    // discovery, where it is asked
     bool silenced_ = false;  // the defect has been planted
     friend class FleetLink;
 };
@@ -190,9 +215,11 @@
 // ---- hosts ---------------------------------------------------------------------------------------
 
 void World::begin(Host& h, Duration amount, std::function<void()> done) {
+    reckon(h);
     ++h.busy;
     timeline.after(time_of(h, amount), Rank::world, [this, &h, life = h.life, done = std::move(done)] {
         if (h.life != life) return;
+        reckon(h);
         --h.busy;
         done();
         while (h.busy < options.cores && !h.queue.empty()) {
@@ -208,14 +235,16 @@
     std::uint64_t id = ++works;
     if (h.busy < options.cores)
         begin(h, amount, std::move(done));
-    else if (h.queue.size() < options.queue)
+    else if (h.queue.size() < options.queue) {
+        reckon(h);
         h.queue.push_back({id, amount, std::move(done)});
-    else
+    } else
         return 0;
     return id;
 }
 
 void World::drop(Host& h, std::uint64_t id) {
+    reckon(h);
     if (options.cancels) std::erase_if(h.queue, [&](auto& w) { return w.id == id; });
 }
 
@@ -312,7 +341,7 @@
     const ClassOptions& c = world_.options.classes[std::size_t(item.cls)];
     Result r;
     r.role = host_.primary ? Role::primary : Role::replica;
-    r.position_unix_us = world_.clock.to_unix(world_.position(host_));
+    if (world_.options.notes) r.position_unix_us = world_.clock.to_unix(world_.position(host_));
     auto now = [this](Result result) { answer(std::move(result)); };
     if (host_.draining) {
         r.status = Status::full;
@@ -330,9 +359,9 @@
         Result done;
         done.status = Status::ok;
         done.role = self->host_.primary ? Role::primary : Role::replica;
-        done.position_unix_us =
-            self->world_.clock.to_unix(self->world_.position(self->host_)) + (write ? 999 : 0);
-        done.answer.position_unix_ms = *done.position_unix_us / 1000;
+        std::int64_t at = self->world_.clock.to_unix(self->world_.position(self->host_)) + (write ? 999 : 0);
+        if (write || self->world_.options.notes) done.position_unix_us = at;
+        done.answer.position_unix_ms = at / 1000;
         done.answer.tag = self->host_.primary ? "primary" : "replica";
         self->answer(std::move(done));
     });
@@ -350,7 +379,10 @@
         Result r;
         r.status = Status::ok;
         r.report.primary = self->host_.primary;
-        r.report.held = double(self->host_.busy + self->host_.queue.size());
+        if (self->world_.options.tells_busy)
+            r.report.busy = double(self->host_.busy) / double(self->world_.options.cores);
+        else
+            r.report.held = double(self->host_.busy + self->host_.queue.size());
         r.report_position_unix_us = self->world_.clock.to_unix(self->world_.position(self->host_));
         self->answer(std::move(r));
     });
@@ -399,25 +431,25 @@
 starlingpond::Settings World::settings() const {
     starlingpond::Settings s;
     s.fleet_size = options.poolers;
-    s.list_mode = starlingpond::ListMode::pushed;
+    s.list_mode = options.list_calls > 0 ? starlingpond::ListMode::asked : starlingpond::ListMode::pushed;
     s.probes = s.cancels = s.retry_after = true;
-    s.second_copies = false;
+    s.second_copies = options.second_copies;
     s.longest_retry_after = 2s;
     s.attempts = 10;
-    s.tokens = starlingpond::TokenSource::remembered;
+    s.tokens = options.carried ? starlingpond::TokenSource::carried : starlingpond::TokenSource::remembered;
     s.server_check = options.checked ? starlingpond::ServerCheck::refuse : starlingpond::ServerCheck::none;
     s.probe_price = options.probe_price;
     s.cold_from = options.cold_from;
     s.ramp = options.ramp;
-    s.fall_multiple = 2.5;
-    s.fall_window = 2s;
+    s.fall_multiple = options.fall_multiple;
+    s.fall_window = options.fall_window;
     for (const ClassOptions& c : options.classes) {
         starlingpond::ClassSettings k;
         k.consistency = c.read;
         k.effect = c.read == Consistency::write ? starlingpond::Effect::unsafe : starlingpond::Effect::safe;
         k.aim = c.aim;
         k.deadline = c.deadline;
-        k.bound = 3s;
+        k.bound = options.bound;
         k.worth = c.worth;
         k.late_share = c.late_share;
         s.classes.push_back(k);
@@ -443,6 +475,7 @@
         routing::MemberInfo m = info(h);
         std::uint32_t number = p->number;
         timeline.after(late, Rank::arrival, [this, m, number, host = h.number] {
+            if (options.list_calls > 0 && (blind_ || !poolers[number]->follows)) return;
             if (m.state == MemberState::draining)
                 auditor.told_draining(number, host, timeline.now());
             else
@@ -453,6 +486,45 @@
     }
 }
 
+// What a pooler starts with, and how it comes to hear of changes.
+void World::add(Pooler& p) {
+    std::vector<routing::MemberInfo> all;
+    for (auto& h : hosts) all.push_back(info(*h));
+    p.core.list(options.list_calls > 0 ? ListKind::cached : ListKind::full, all);
+    p.core.on_follow_list([this, &p] { follow(p); });
+}
+
+void World::whole_list(Pooler& p) {
+    std::vector<routing::MemberInfo> all;
+    for (auto& h : hosts) {
+        all.push_back(info(*h));
+        if (h->draining)
+            auditor.told_draining(p.number, h->number, timeline.now());
+        else
+            auditor.told_ready(p.number, h->number);
+    }
+    p.core.list(ListKind::full, all);
+}
+
+// One service for all poolers: calls wait for their turn, and fail when they have waited for too long.
+void World::follow(Pooler& p) {
+    constexpr Duration patience = 1s;
+    service_free_ = std::max(service_free_, timeline.now());
+    Duration takes(std::int64_t(1e6 / options.list_calls)), wait = service_free_ - timeline.now();
+    bool fails = blind_ || wait > patience;
+    if (!fails) service_free_ += takes;
+    timeline.after(fails ? patience : wait + takes, Rank::arrival,
+                   [this, number = p.number, fails, alive = std::weak_ptr<bool>(p.alive_)] {
+                       if (alive.expired()) return;
+                       Pooler& asker = *poolers[number];
+                       asker.follows = !fails && !blind_;
+                       if (asker.follows)
+                           whole_list(asker);
+                       else
+                           asker.core.list(ListKind::failed, {});
+                   });
+}
+
 void World::arrive() {
     double mean = 1e6 / std::max(1e-9, rate_now());
     Time next = timeline.now() + Duration(std::int64_t(traffic.exponential(mean)) + 1);
@@ -462,7 +534,8 @@
         std::size_t cls = 0;
         for (; cls + 1 < options.classes.size(); ++cls)
             if ((sum += options.classes[cls].share) > pick) break;
-        std::uint64_t session = 1 + traffic.below(options.sessions);
+        bool hot = caller_ > 0 && traffic.uniform() < caller_;
+        std::uint64_t session = 1 + traffic.below(options.sessions) + (hot ? options.sessions : 0);
         auto group = std::uint32_t(session % options.groups);
         ++summary.requests;
         double worth = options.classes[cls].worth;
@@ -481,7 +554,8 @@
     auto held = std::make_unique<Try>();
     Try& t = *held;
     t.world = this;
-    t.pooler = std::uint32_t(session % poolers.size());  // a session stays with one pooler
+    // A session stays with one pooler; a caller that is suddenly hot has sessions of its own.
+    t.pooler = std::uint32_t(session > options.sessions ? 0 : session % poolers.size());
     t.id = "r" + std::to_string(number);
     t.cls = cls;
     t.session = session;
@@ -505,6 +579,8 @@
     item.patience = c.deadline;
     item.repeat = left < options.retries;
     if (keeps) item.session = session;
+    if (Time commit = auditor.commit(session); options.carried && keeps && commit > Time{})
+        item.after_unix_ms = clock.to_unix(commit) / 1000 + 1;
     if (options.defect == Defect::lost_answer && !silenced_ && number == 500) {
         silenced_ = true;
         return;  // taken in, and never heard of again
@@ -554,6 +630,7 @@
 }
 
 void World::kill(Host& h) {
+    reckon(h);
     ++h.life;
     h.up = false;
     h.busy = h.links = 0;
@@ -566,7 +643,7 @@
 
 void World::revive(Host& h) {
     h.up = true;
-    h.started = timeline.now();
+    h.started = h.applied_at = timeline.now();  // it goes on from where its log stood
     auditor.started(h.number, timeline.now(), double(options.cores));
     tell(h);
 }
@@ -580,6 +657,16 @@
             jump_ *= trouble.size;
             until([this, size = trouble.size] { jump_ /= size; });
             break;
+        case Trouble::Kind::caller:
+            caller_ = trouble.size;
+            until([this] { caller_ = 0; });
+            break;
+        case Trouble::Kind::blind:
+            blind_ = true;
+            for (auto& p : poolers)
+                if (std::exchange(p->follows, false)) p->core.list(ListKind::failed, {});
+            until([this] { blind_ = false; });
+            break;
         case Trouble::Kind::lag:
             for (Host* h : some(trouble.part, true)) {
                 h->stood = position(*h);
@@ -631,9 +718,7 @@
                 *ended_poolers_.back()->alive_ = false;
                 ended_poolers_.back()->alive_.reset();
                 poolers[i] = std::make_unique<Pooler>(*this, number, options.seed * 1000 + 500 + i);
-                std::vector<routing::MemberInfo> all;
-                for (auto& h : hosts) all.push_back(info(*h));
-                poolers[i]->core.list(ListKind::full, all);
+                add(*poolers[i]);
             }
             break;
         }
@@ -649,11 +734,9 @@
             h->primary = m == 0;
             hosts.push_back(std::move(h));
         }
-    std::vector<routing::MemberInfo> all;
-    for (auto& h : hosts) all.push_back(info(*h));
     for (unsigned p = 0; p < options.poolers; ++p) {
         poolers.push_back(std::make_unique<Pooler>(*this, p, options.seed * 1000 + p));
-        poolers.back()->core.list(ListKind::full, all);
+        add(*poolers.back());
     }
     for (const Trouble& t : options.troubles)
         timeline.at(Time(seconds(t.begins_s)), Rank::world, [this, &t] { start(t); });
@@ -687,6 +770,22 @@
     return o;
 }
 
+FleetOptions station_fleet() {
+    FleetOptions o;
+    o.poolers = 4, o.groups = 3, o.members = 4, o.cores = 5;
+    o.rate = 260;
+    o.classes = {{"map-read", Consistency::bounded, 0.7, 1, 0, 118ms, 600ms, 2s},
+                 {"own-read", Consistency::session, 0.2, 1, 0, 118ms, 500ms, 1200ms},
+                 {"fresh-read", Consistency::fresh, 0.021, 1, 0, 118ms, 600ms, 2s},
+                 {"booking-write", Consistency::write, 0.079, 4, 0.5, 180ms, 1500ms, 5s}};
+    o.one_way = 600us, o.ship = 9ms;
+    o.cold_from = 0.18, o.ramp = 16s, o.fall_multiple = 2, o.fall_window = 1500ms;
+    o.drain_grace = 1s, o.bound = 300ms;
+    o.list_calls = 3, o.carried = true, o.notes = false, o.tells_busy = true, o.second_copies = true;
+    o.apply_use = 0.5, o.probe_price = 0.02;
+    return o;
+}
+
 std::uint32_t Summary::latency(double quantile) const {
     if (latency_us.empty()) return 0;
     return latency_us[std::min(latency_us.size() - 1, std::size_t(quantile * double(latency_us.size())))];
--- a/src/lab/fleet.hpp
+++ b/src/lab/fleet.hpp
@@ -31,6 +31,8 @@
         drain,    // part of the hosts drain, and are ready again when it is over
         gray,     // part of the hosts take size times as long, and say nothing of it
         restart,  // part of the poolers end and start with nothing, all at its beginning
+        blind,    // discovery is out of reach: calls fail, watches end, and changes wait to be asked for
+        caller,   // size: the share of all traffic that one pooler gets beside its own
     } kind = Kind::jump;
     double begins_s = 0, lasts_s = 0, size = 1, part = 1;
 };
@@ -44,9 +46,20 @@
     std::vector<ClassOptions> classes;
     Duration one_way = std::chrono::microseconds(700), ship = std::chrono::milliseconds(10);
     Duration told_late = std::chrono::milliseconds(800);  // discovery
-    double cold_from = 0.2, probe_price = 0;
+    double cold_from = 0.2, probe_price = 0, fall_multiple = 2.5;
     bool checked = false;  // hosts turn reads away that they are too far behind for
-    Duration ramp = std::chrono::seconds(17);
+    Duration ramp = std::chrono::seconds(17), fall_window = std::chrono::seconds(2);
+    Duration drain_grace = std::chrono::seconds(2), bound = std::chrono::seconds(3);  // of bounded reads
+    // Lists are asked for: one service takes so many calls a second, one after the other, and fails those
+    // that have waited for a second. 0: lists are pushed.
+    double list_calls = 0;
+    bool carried = false;     // a session's read says how long ago its last write was committed
+    bool notes = true;        // answers tell positions; else only a write's commit
+    bool tells_busy = false;  // probes tell how busy the cores are, in place of the requests held
+    bool second_copies = false;
+    // Share of a core's time in which a replica applies the log. What its cores are taken up with beyond
+    // their number holds it up, and it answers as fast as ever. 0: it always keeps up.
+    double apply_use = 0;
     unsigned retries = 0;  // of a client, at once
     bool cancels = true;   // a host drops what was cancelled while it waited
     std::vector<Trouble> troubles;
@@ -63,6 +76,8 @@
     } defect = Defect::none;
 };
 FleetOptions usual_fleet();  // three classes like a laundry's
+FleetOptions
+station_fleet();  // four like a charging map's: tight bounds, lists asked for, lag untold by hosts
 
 struct Summary {
     std::uint64_t requests = 0, served = 0, late = 0, refused = 0, failed = 0, attempts = 0, probes = 0,
--- a/tests/lab_test.cpp
+++ b/tests/lab_test.cpp
@@ -182,5 +182,57 @@
     }
 }
 
+// The second deployment: lists asked of one service, hosts that tell of no lag, drains of 1 s, cold hosts
+// that fall at twice what they can do within 1.5 s.
+FleetOptions station(std::uint64_t seed = 1) {
+    FleetOptions o = station_fleet();
+    o.seconds = 6;
+    o.retries = 2;
+    o.seed = seed;
+    return o;
+}
+
+TEST_CASE("stations: the rules hold on a calm day and through each trouble, and two at once") {
+    using K = Trouble::Kind;
+    for (std::uint64_t seed : {1, 2}) {
+        CHECK(rules(run(station(seed))) == "");
+        for (auto kind : {K::jump, K::lag, K::kill, K::drain, K::gray, K::restart, K::blind, K::caller}) {
+            FleetOptions o = station(seed);
+            o.troubles = {{kind, 1, 3, kind == K::caller ? 0.3 : kind == K::gray ? 6.0 : 1.6, 0.25}};
+            Summary s = run(o);
+            CHECK_MESSAGE(rules(s) == "", int(kind));
+            CHECK(s.goodput() > 0.5);
+        }
+        for (auto kind : {K::kill, K::drain, K::restart}) {
+            FleetOptions o = station(seed);
+            o.troubles = {{K::blind, 0.5, 4, 1, 1}, {kind, 1, 2, 1, 0.25}};
+            CHECK_MESSAGE(rules(run(o)) == "", int(kind));
+        }
+    }
+}
+
+// A pooler that asks again before its turn jams the one service for all.
+TEST_CASE("stations: forty poolers before a list service of three calls a second all hear of a drain") {
+    FleetOptions o = station();
+    o.poolers = 40, o.seconds = 20, o.rate = 200;
+    o.troubles = {{Trouble::Kind::drain, 16, 4, 1, 0.25}};
+    Summary s = run(o);
+    CHECK(rules(s) == "");
+    CHECK(s.goodput() > 0.8);
+}
+
+// Reads crowd out the log until no bounded read may go anywhere, at a load that the cores could carry.
+TEST_CASE("stations: replicas that apply the log beside their reads stay current under load") {
+    double sum = 0;
+    for (std::uint64_t seed : {1, 2, 3}) {
+        FleetOptions o = station(seed);
+        o.rate = 460, o.seconds = 10;
+        Summary s = run(o);
+        CHECK(rules(s) == "");
+        sum += s.goodput() / 3;
+    }
+    CHECK(sum > 0.91);  // 0.94; 0.88 where windows follow answer times alone
+}
+
 }  // namespace
 }  // namespace indigovane::lab
