--- a/include/starlingpond/brain.hpp
+++ b/include/starlingpond/brain.hpp
@@ -163,7 +163,11 @@
     std::vector<std::pair<SessionKey, Time>> commits;
     Time floor{};  // session reads without one must see this
 };
-using Event = std::variant<List, Request, Outcome, Withdrawn, ProbeResult, Timer, Retune, Tokens, Begun>;
+struct PrimaryHeard {  // another proxy has seen the member act as primary
+    MemberId member{};
+};
+using Event = std::variant<List, Request, Outcome, Withdrawn, ProbeResult, Timer, Retune, Tokens, Begun,
+                           PrimaryHeard>;
 
 // ---- actions
 // ------------------------------------------------------------------------------------------------
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -474,13 +474,17 @@
             if (m.trouble == Trouble::unreachable) recover(m);
         } else if (p.status != Status::full && p.status != Status::moot) {
             ++m.probe_failures;
-            if (p.status == Status::unreachable || p.status == Status::reset ||
-                m.probe_failures >= kProbeFailures)
-                trip(m, Trouble::unreachable);
+            bool sure = p.status == Status::unreachable || p.status == Status::reset;
+            if (sure || m.probe_failures >= kProbeFailures) trip(m, Trouble::unreachable);
         }
         pump(groups[m.group]);
     }
 
+    void on(const PrimaryHeard& h) {  // hearsay proves nothing: it is worth a look of one's own
+        auto it = members.find(h.member);
+        if (it != members.end() && primary(groups[it->second.group]) != &it->second) probe(it->second);
+    }
+
     void on(const Tokens& t) {
         for (auto [key, commit] : t.commits) remember(key, commit);
         token_floor = std::max(token_floor, t.floor);
@@ -747,8 +751,7 @@
     // again when it may do. Guards the one that a proxy has heard of last against all its reads, and gives
     // new ones a part of them.
     bool expected(const Member& m, Time need, Duration bound) const {
-        if (!m.position)
-            return m.started && *m.started - kCopyAge + kCatchUp * (now - *m.started) >= need;
+        if (!m.position) return m.started && *m.started - kCopyAge + kCatchUp * (now - *m.started) >= need;
         if (stands(m) >= need) return true;
         return bound != Duration::zero() && *m.position + kCatchUp * (now - m.told_at) >= need + kMissRest;
     }
@@ -800,8 +803,7 @@
     }
     Time give_up(const Live& r) const {
         if (r.for_primary())
-            return std::min(r.deadline - kAnswerMargin - from_ms(r.cls->usual_ms),
-                            worth_holding_until(r));
+            return std::min(r.deadline - kAnswerMargin - from_ms(r.cls->usual_ms), worth_holding_until(r));
         return std::max(r.arrived + kLeastHold, r.aim - from_ms(r.cls->usual_ms * kTail));
     }
 
--- a/src/program/config.cpp
+++ b/src/program/config.cpp
@@ -126,6 +126,20 @@
             throw ConfigError(std::string("settings.familyInfo.") + key + ": one entry a class is wanted");
 }
 
+// A list of addresses, or an object of them by name. What has another form names nobody: only an operator's
+// file switches the links on, and says so then.
+void read_peer_addresses(const json& root, Config& c) {
+    auto take = [&](const json& value) {
+        auto at = value.is_string() ? transport::read_endpoint(value.get<std::string>()) : std::nullopt;
+        return at;
+    };
+    if (auto listen = root.find("peer_listen"); listen != root.end()) c.peer_listen = take(*listen);
+    auto peers = root.find("peers");
+    if (peers == root.end() || !peers->is_structured()) return;
+    for (const json& peer : *peers)
+        if (auto at = take(peer); at && at != c.peer_listen) c.peers.push_back(*at);
+}
+
 std::uint64_t read_seed(const json& value) {
     if (value.is_number_unsigned()) return value.get<std::uint64_t>();
     if (!value.is_string()) return 0;
@@ -145,6 +159,7 @@
         if (std::string at = root.value("control", variable("LB_CONTROL")); !at.empty())
             c.control = endpoint(at, "control");
         if (root.contains("seed")) c.seed = read_seed(root["seed"]);
+        read_peer_addresses(root, c);
         if (root.contains("limits")) {
             c.memory_mb = std::size_t(root["limits"].value("memory_mb", 192.0));
             c.sockets = std::size_t(root["limits"].value("sockets", 1024.0));
@@ -163,6 +178,7 @@
                 if (allowed.contains(name) && allowed[name].is_number() && allowed[name].get<double>() > 0)
                     out = routing::Duration(std::int64_t(allowed[name].get<double>() * 1000));
             };
+            c.peers_permitted = allowed.value("peerMessages", false);
             duration("connectTimeoutMs", c.connect_timeout);
             duration("idleCloseMs", c.idle_limit);
         }
@@ -271,6 +287,14 @@
     config.statements = std::move(s);
 }
 
+void take_peers(PeerConfig peering, const std::string& path, Config& config) {
+    if (!config.peers_permitted)
+        throw ConfigError(path + ": the platform's settings permit no messages between poolers");
+    if (!config.peer_listen || config.peers.empty())
+        throw ConfigError(path + ": the platform's configuration names no 'peer_listen' or no 'peers'");
+    config.peering = std::move(peering);
+}
+
 void read_statements(const std::string& path, Config& config) {
     take_statements(read_statement_config(path), path, config);
 }
--- a/src/program/config.hpp
+++ b/src/program/config.hpp
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "adapters/classes.hpp"
+#include "program/peer_config.hpp"
 #include "program/statement_rules.hpp"
 #include "program/store_config.hpp"
 #include "routing/catalog.hpp"
@@ -48,6 +49,11 @@
     RestConfig rest;
     std::optional<StoreConfig> store;           // none: nothing outlasts the process
     std::optional<StatementConfig> statements;  // none: the package is off
+    // Other poolers, where the platform permits datagrams between them and names them.
+    bool peers_permitted = false;
+    std::vector<transport::Endpoint> peers;
+    std::optional<transport::Endpoint> peer_listen;
+    std::optional<PeerConfig> peering;  // none: nothing is told and nothing heard
     // The keys that the file holds, by path, with the type of each: a file read again must hold them all.
     std::map<std::string, char> shape;
     std::string fixed;  // the text of all that only a start takes in, to tell whether it has changed
@@ -62,6 +68,8 @@
 // laid over theirs (the tighter counts). Throws StatementConfigError.
 void read_statements(const std::string& path, Config& config);
 void take_statements(StatementConfig statements, const std::string& path, Config& config);
+// Throws FileError, or ConfigError where the platform's file permits or names no peers.
+void take_peers(PeerConfig peering, const std::string& path, Config& config);
 void read_rest_config(const std::string& path, Config& config);
 void parse_rest_config(const std::string& text, Config& config);
 
--- a/src/program/lifecycle.cpp
+++ b/src/program/lifecycle.cpp
@@ -139,6 +139,7 @@
     }
     if (keeper_) catalog_->on_list([this](std::int64_t revision) { keep_list(revision); });
     watch_taken_out();
+    if (config_.peering) open_peers();
     if (asked)
         core_->on_follow_list([this] { catalog_->follow(); });
     else
@@ -320,6 +321,36 @@
         for (const std::string& uid : keeper_->taken_out()) taken_out_.change(uid, true);
 }
 
+// Other poolers are told of a group's new primary, and what they tell is worth a probe here. Serving does not
+// depend on it.
+void Lifecycle::open_peers() {
+    auto udp = [](const transport::Endpoint& at) {
+        return boost::asio::ip::udp::endpoint(at.address(), at.port());
+    };
+    auto millis = [](limits::Duration d) { return std::chrono::duration_cast<milliseconds>(d); };
+    adapters::PeerOptions options;
+    options.listen = udp(*config_.peer_listen);
+    for (const transport::Endpoint& at : config_.peers) options.peers.push_back(udp(at));
+    options.cluster = protocol::peer::cluster_number(config_.peering->cluster);
+    options.incarnation = std::uint64_t(clock_.to_unix(clock_.now()));  // no start is at another's instant
+    options.again = millis(config_.peering->again), options.gather = millis(config_.peering->gather);
+    try {
+        peers_ = std::make_unique<adapters::PeerLink>(io_, options, [this](const protocol::peer::Primary& p) {
+            bool known = core_->hear_primary(p.uid, p.group, p.as_of_unix_us);
+            log_.log(Level::info, "peers", known ? "heard of a primary" : "heard of nothing that counts here",
+                     {{"member", p.uid}, {"group", std::to_string(p.group)}});
+        });
+    } catch (const std::exception& error) {
+        log_.log(Level::error, "peers", error.what(), {{"without", "goes on alone"}});
+        return;
+    }
+    core_->on_primary([this](const MemberInfo& m, Time as_of) {
+        peers_->tell({m.group, clock_.to_unix(as_of), m.uid});
+    });
+    log_.log(Level::notice, "peers", "poolers tell each other of primaries",
+             {{"peers", std::to_string(config_.peers.size())}, {"cluster", config_.peering->cluster}});
+}
+
 void Lifecycle::keep_list(std::int64_t revision) {
     nlohmann::json targets = nlohmann::json::array();
     for (const MemberInfo& m : core_->listed()) {
--- a/src/program/lifecycle.hpp
+++ b/src/program/lifecycle.hpp
@@ -10,6 +10,7 @@
 
 #include "adapters/control_front.hpp"
 #include "adapters/limited_intake.hpp"
+#include "adapters/peer_link.hpp"
 #include "adapters/statements.hpp"
 #include "adapters/syslog_sink.hpp"
 #include "program/config.hpp"
@@ -59,6 +60,7 @@
     void check_drained();
     void watch_taken_out();
     void open_store();
+    void open_peers();
     void keep_list(std::int64_t revision);
     void open_fronts();
     bool may_open_fronts() const;
@@ -100,6 +102,7 @@
     std::unique_ptr<adapters::LimitedIntake> limited_;  // none: no limits by cost
     std::vector<std::unique_ptr<routing::Front>> fronts_;
     std::unique_ptr<adapters::ControlFront> control_;
+    std::unique_ptr<adapters::PeerLink> peers_;  // none: off
     TakenOut taken_out_;
     Succession succession_;
     std::map<std::string, transport::Descriptor> inherited_;  // listening sockets, by front
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -41,7 +41,9 @@
         "statements", options::value<std::string>(),
         "the operator's file of statements and limits; without it both are off")(
         "store", options::value<std::string>(),
-        "the operator's file of the store; without it nothing outlasts the process");
+        "the operator's file of the store; without it nothing outlasts the process")(
+        "peers", options::value<std::string>(),
+        "the operator's file of the links between poolers; without it there are none");
     options::variables_map values;
     options::store(options::command_line_parser(arguments).options(described).run(), values);
     options::notify(values);
@@ -50,6 +52,10 @@
     program::Config config = program::read_platform_config(path);
     if (values.count("rest")) program::read_rest_config(values["rest"].as<std::string>(), config);
     if (values.count("store")) config.store = program::read_store_config(values["store"].as<std::string>());
+    if (values.count("peers")) {
+        std::string file = values["peers"].as<std::string>();
+        program::take_peers(program::read_peer_config(file), file, config);
+    }
     if (values.count("statements")) program::read_statements(values["statements"].as<std::string>(), config);
     return config;
 }
@@ -78,6 +84,10 @@
                                             : "known forms only")
               << "\nstore      " << (config.store ? config.store->folder : "off")
               << (config.store && config.store->in_memory ? " (warning: it is in memory)" : "")
+              << "\npeers      "
+              << (config.peering
+                      ? std::to_string(config.peers.size()) + " named, cluster " + config.peering->cluster
+                      : "off")
               << "\nlimits     " << (config.statements && config.statements->limits.enabled ? "on" : "off")
               << "\n";
     return 0;
--- /dev/null
+++ b/src/program/peer_config.hpp
@@ -0,0 +1,21 @@
+// The operator's file of the links between poolers: TOML. The addresses come from the platform's
+// configuration.
+#pragma once
+
+#include <string>
+
+#include "program/units.hpp"
+
+namespace indigovane::program {
+
+struct PeerConfig {
+    std::string cluster;  // poolers of another one are strangers
+    limits::Duration again = std::chrono::milliseconds(250);
+    limits::Duration gather = std::chrono::milliseconds(20);
+};
+
+// Throws FileError.
+PeerConfig parse_peer_config(const std::string& text, const std::string& file);
+PeerConfig read_peer_config(const std::string& path);
+
+}  // namespace indigovane::program
--- a/src/routing/core.cpp
+++ b/src/routing/core.cpp
@@ -12,6 +12,7 @@
 constexpr Duration kAtOnce = milliseconds(5);
 // Closed this long before the member would: a request that crosses its closing could have run.
 constexpr double kIdleShare = 0.8;
+constexpr Duration kHearsayKept = std::chrono::seconds(5);  // older news of a primary is none
 }  // namespace
 
 Clock::Clock()
@@ -218,6 +219,10 @@
     else if (result.report_position_unix_us)
         report.position = clock_.from_unix(*result.report_position_unix_us);
     Member* m = member(id);
+    if (result.role == Role::primary)
+        note_primary(id, now);
+    else if (report.primary == true && report.position)
+        note_primary(id, *report.position);
     if (result.spoilt)
         logger_.log(Level::warning, "spoilt", result.spoilt,
                     {{"member", m ? m->info.uid : ""}, {"asked", job.probe ? "probe" : "request"}});
@@ -276,6 +281,28 @@
     forget_if_done(job.id);
 }
 
+// What is told to other poolers is what this one has seen itself, once, and never the first that it learns.
+void Core::note_primary(MemberId id, Time as_of) {
+    Member* m = member(id);
+    if (!m) return;
+    auto [it, first] = primaries_.try_emplace(m->info.group, id, as_of);
+    if (first || as_of <= it->second.second) return;
+    bool news = it->second.first != id;
+    it->second = {id, as_of};
+    if (news && primary_) primary_(m->info, as_of);
+}
+
+bool Core::hear_primary(const std::string& uid, std::uint32_t group, std::int64_t as_of_unix_us) {
+    auto known = uids_.find(uid);
+    Member* m = known == uids_.end() ? nullptr : member(known->second);
+    Time as_of = clock_.from_unix(as_of_unix_us), now = clock_.now();
+    if (!m || m->left || m->info.group != group || as_of > now + kHearsayKept || as_of < now - kHearsayKept)
+        return false;
+    inbox_.push_back(PrimaryHeard{known->second});
+    wake();
+    return true;
+}
+
 // Guards the module against what no member can rightly say: a position in the future would let it stand as
 // current for good, since positions never go back.
 bool Core::plausible(std::optional<std::int64_t> position_unix_us) const {
--- a/src/routing/core.hpp
+++ b/src/routing/core.hpp
@@ -73,6 +73,12 @@
     void lay_over(const std::set<std::string>& taken_out);
     bool knows(const std::string& uid) const { return uids_.count(uid) > 0; }
     void on_follow_list(std::function<void()> follow) { follow_ = std::move(follow); }
+    // A group has another primary than before, by an answer or a report that this pooler has had itself.
+    void on_primary(std::function<void(const MemberInfo& member, Time as_of)> hear) {
+        primary_ = std::move(hear);
+    }
+    // Another pooler says so. False: it names no such member, or is too old to be of use.
+    bool hear_primary(const std::string& uid, std::uint32_t group, std::int64_t as_of_unix_us);
 
     // Hands everything that has come in since the last batch to the module in one go, then carries out what
     // came back. Nothing that an action brings about is seen before the next batch.
@@ -128,6 +134,7 @@
 
     bool plausible(std::optional<std::int64_t> position_unix_us) const;
     static bool plausible(const starlingpond::Report& report);
+    void note_primary(MemberId id, Time as_of);
     bool stale(const Item& item, const Job& job, const Result& result) const;
     void end_job(MemberId id, const Job& job, Result result);
     starlingpond::ListEntry entry(MemberId id, Member& m);  // as the module is to see it
@@ -164,6 +171,8 @@
     std::function<void()> follow_;
     std::function<void(std::uint64_t, Time)> commit_;
     std::function<void(std::uint64_t, bool)> write_;
+    std::function<void(const MemberInfo&, Time)> primary_;
+    std::map<std::uint32_t, std::pair<MemberId, Time>> primaries_;  // by group: who, by evidence as of when
     std::vector<starlingpond::Event> inbox_;
     std::unordered_map<RequestId, Entry> entries_;
     std::unordered_set<std::string> open_ids_;  // as clients name them: owed an answer, or out
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -763,6 +763,26 @@
     EXPECT_TRUE(bed.answered(held));
 }
 
+// What another proxy says of a member proves nothing: it is looked at, and until it has answered all stays.
+TEST(Health, HearsayOfANewPrimaryIsWorthOneLook) {
+    Bed bed;
+    bed.group(3);
+    int before = bed.probes;
+    bed.give(PrimaryHeard{MemberId{1}});
+    EXPECT_EQ(bed.probes, before + 1);
+    EXPECT_EQ(bed.target(bed.ask(kWrite)), kPrimary);
+    for (int i = 0; i < 100; ++i) bed.give(PrimaryHeard{MemberId{1}});
+    EXPECT_EQ(bed.probes, before + 1);  // one is out
+    bed.run(10ms);
+    EXPECT_EQ(bed.target(bed.ask(kWrite)), kPrimary);
+    bed.shows[MemberId{1}].primary = true;
+    bed.shows[kPrimary].primary = false;
+    bed.give(PrimaryHeard{MemberId{1}});
+    bed.run(10ms);
+    EXPECT_EQ(bed.target(bed.ask(kWrite)), MemberId{1});
+    bed.give(PrimaryHeard{MemberId{77}});  // never listed
+}
+
 // A class whose answers take long was refused on arrival, every request of it, once reads had to ask for a
 // position.
 TEST(Requests, AReadIsHeldLongEnoughToAskAReplica) {
--- /dev/null
+++ b/tests/peer_test.cpp
@@ -0,0 +1,189 @@
+// Datagrams between poolers: what is malformed, foreign, doubled or overtaken goes no further, and what is
+// heard is worth a look of one's own, no more.
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <thread>
+
+#include "adapters/peer_link.hpp"
+#include "program/config.hpp"
+#include "support/deployment.hpp"
+
+namespace indigovane::testing {
+namespace {
+
+namespace peer = protocol::peer;
+using adapters::PeerLink;
+using udp = boost::asio::ip::udp;
+
+peer::Message message(std::uint32_t number = 1, std::uint64_t incarnation = 7) {
+    return {peer::cluster_number("a"), incarnation, number, {{3, 1'700'000'000'123'456, "s-5be2a07c"}}};
+}
+std::string bytes(peer::Message m) {
+    return peer::write(m);
+}
+
+TEST_CASE("peer messages: written and read again; as many as fit; every bit that flips is seen") {
+    peer::Message m = message();
+    std::string whole = bytes(m);
+    CHECK(whole.size() == 20 + 14 + 10 + 4);
+    CHECK(peer::read(whole) == m);
+    for (std::size_t i = 0; i < whole.size() * 8; ++i) {
+        std::string flipped = whole;
+        flipped[i / 8] ^= char(1 << i % 8);
+        CHECK_FALSE(peer::read(flipped));
+    }
+    for (std::size_t i = 0; i < whole.size(); ++i) CHECK_FALSE(peer::read(whole.substr(0, i)));
+    CHECK_FALSE(peer::read(whole + '\0'));
+    m.primaries.assign(40, {1, -5, std::string(64, 'u')});
+    m.primaries.insert(m.primaries.begin(), {1, 2, std::string(65, 'u')});  // can't be written, and is let go
+    std::size_t told = 0;
+    while (!m.primaries.empty()) {
+        std::string part = peer::write(m);
+        CHECK(part.size() <= peer::kLargest);
+        auto back = peer::read(part);
+        REQUIRE(back);
+        told += back->primaries.size();
+    }
+    CHECK(told == 40);
+}
+
+TEST_CASE("peer messages: random bytes with a good sum are read or not, and never beyond their end") {
+    Dice dice(5);
+    int taken = 0, dropped = 0;
+    for (int i = 0; i < 20000; ++i) {
+        std::string whole = bytes(message());
+        whole.resize(whole.size() - 4);
+        for (std::size_t n = dice.below(6); n > 0; --n)
+            whole[3 + dice.below(whole.size() - 3)] = char(dice.below(256));
+        whole.resize(20 + dice.below(whole.size() - 19));
+        std::uint32_t sum = XXH32(whole.data(), whole.size(), 0);
+        for (int shift = 24; shift >= 0; shift -= 8) whole.push_back(char(sum >> shift & 0xff));
+        auto read = peer::read(whole);
+        ++(read ? taken : dropped);
+        if (read)
+            for (const peer::Primary& p : read->primaries) CHECK(p.uid.size() <= peer::kLongestUid);
+    }
+    CHECK(taken > 100);
+    CHECK(dropped > 100);
+}
+
+struct Two {
+    Loop loop;
+    std::vector<peer::Primary> heard;
+    udp::socket other{loop.io, udp::endpoint(boost::asio::ip::address_v4::loopback(), 0)};
+    std::unique_ptr<PeerLink> link;
+    Two() {
+        adapters::PeerOptions o;
+        o.listen = udp::endpoint(boost::asio::ip::address_v4::loopback(), 0);
+        o.peers = {other.local_endpoint()};
+        o.cluster = peer::cluster_number("a");
+        o.incarnation = 9;
+        o.again = 1ms, o.gather = 1ms;
+        link = std::make_unique<PeerLink>(loop.io, o, [this](const peer::Primary& p) { heard.push_back(p); });
+        other.non_blocking(true);
+    }
+    std::uint64_t seen() const {
+        const auto& c = link->counts();
+        return c.taken + c.malformed + c.foreign + c.old;
+    }
+    void give(const std::string& datagram, udp::socket& from) {
+        std::uint64_t before = seen();
+        from.send_to(boost::asio::buffer(datagram), link->local());
+        REQUIRE(loop.until([&] { return seen() > before; }));
+    }
+};
+
+TEST_CASE("a peer link drops what is malformed, foreign, doubled or overtaken, and counts it") {
+    Two t;
+    udp::socket stranger(t.loop.io, udp::endpoint(boost::asio::ip::address_v4::loopback(), 0));
+    t.give(bytes(message(5)), t.other);
+    CHECK(t.heard == message().primaries);
+    t.give(bytes(message(5)), t.other);  // doubled
+    t.give(bytes(message(4)), t.other);  // overtaken
+    CHECK(t.link->counts().old == 2);
+    t.give(bytes(message(6)), stranger);
+    peer::Message elsewhere = message(6);
+    elsewhere.cluster = peer::cluster_number("b");
+    t.give(bytes(elsewhere), t.other);
+    CHECK(t.link->counts().foreign == 2);
+    t.give("IV", t.other);
+    t.give(std::string(300, 'x'), t.other);
+    CHECK(t.link->counts().malformed == 2);
+    CHECK(t.heard.size() == 1);
+    t.give(bytes(message(1, 8)), t.other);  // the sender has started again
+    CHECK(t.heard.size() == 2);
+}
+
+TEST_CASE("a peer link tells its news twice, of a group the newest, and goes on when nobody listens") {
+    Two t;
+    t.link->tell({3, 1, "old"});
+    t.link->tell({3, 2, "new"});
+    std::vector<peer::Message> got;
+    auto more = [&] {
+        char buffer[300];
+        boost::system::error_code ec;
+        udp::endpoint from;
+        std::size_t n = t.other.receive_from(boost::asio::buffer(buffer), from, 0, ec);
+        if (!ec) got.push_back(*peer::read({buffer, n}));
+        return got.size() == 2;
+    };
+    REQUIRE(t.loop.until(more));
+    for (const auto& m : got) CHECK(m.primaries == std::vector<peer::Primary>{{3, 2, "new"}});
+    CHECK(got[1].number > got[0].number);
+    t.other.close();
+    std::uint64_t before = t.link->counts().sent + t.link->counts().dropped;
+    t.link->tell({3, 3, "newer"});
+    REQUIRE(t.loop.until([&] { return t.link->counts().sent + t.link->counts().dropped >= before + 2; }));
+}
+
+TEST_CASE("a core tells of a change of primary once, and what it hears makes it look, no more") {
+    Deployment<adapters::PgBackend, PgHost> d;
+    std::vector<std::string> told;
+    d.core.on_primary([&](const MemberInfo& m, routing::Time) { told.push_back(m.uid); });
+    auto now = [&] { return d.clock.to_unix(d.clock.now()); };
+    CHECK_FALSE(d.core.hear_primary("nobody", 3, now()));
+    CHECK_FALSE(d.core.hear_primary("m1", 4, now()));               // of another group
+    CHECK_FALSE(d.core.hear_primary("m1", 3, now() - 60'000'000));  // old
+    CHECK_FALSE(d.core.hear_primary("m1", 3, now() + 60'000'000));
+    int before = d.hosts[1].probes;
+    CHECK(d.core.hear_primary("m1", 3, now()));
+    REQUIRE(d.loop.until([&] { return d.hosts[1].probes > before; }));
+    CHECK(told.empty());  // it has seen nothing itself
+    // The first that it sees for itself is no news, another after it is.
+    d.hosts[0].primary = false, d.hosts[1].primary = true;
+    before = d.hosts[1].probes;
+    CHECK(d.core.hear_primary("m1", 3, now()));
+    REQUIRE(d.loop.until([&] { return d.hosts[1].probes > before; }));
+    std::this_thread::sleep_for(5ms);  // a report tells whole milliseconds, and a newer one is wanted
+    d.loop.settle();
+    d.hosts[1].primary = false, d.hosts[2].primary = true;
+    before = d.hosts[2].probes;
+    CHECK(d.core.hear_primary("m2", 3, now()));
+    REQUIRE(d.loop.until([&] { return !told.empty(); }));
+    CHECK(told == std::vector<std::string>{"m2"});
+}
+
+TEST_CASE("configuration: peers are taken where the platform permits and names them") {
+    std::string start = R"({"listen":"127.0.0.1:1","discovery":"127.0.0.1:2","peer_listen":"127.0.0.1:9",)",
+                end = R"(,"settings":{"allowed":{"peerMessages":true}}})";
+    auto config = program::parse_platform_config(start + R"("peers":["127.0.0.1:8","127.0.0.1:9"])" + end);
+    CHECK(config.peers.size() == 1);
+    program::take_peers(program::parse_peer_config("[peers]\ncluster = \"a\"", "f"), "f", config);
+    CHECK(config.peering->cluster == "a");
+    auto named = program::parse_platform_config(start + R"("peers":{"n1":"127.0.0.1:8","n2":17})" + end);
+    CHECK(named.peers.size() == 1);
+    auto refused = [&](const std::string& text) {
+        auto bad = program::parse_platform_config(text);
+        CHECK_THROWS_AS(program::take_peers({"a"}, "f", bad), program::ConfigError);
+    };
+    refused(start + R"("peers":[])" + end);
+    refused(start + R"("peers":"127.0.0.1:8")" + end);
+    refused(start + R"("peers":["127.0.0.1:8"],"settings":{}})");
+    CHECK_THROWS_AS(program::parse_peer_config("[peers]\nclustre = \"a\"", "f"), program::FileError);
+    CHECK_THROWS_AS(program::parse_peer_config("[peers]\ncluster = \"a\"\nagain = \"0ms\"", "f"),
+                    program::FileError);
+}
+
+}  // namespace
+}  // namespace indigovane::testing
--- a/tests/support/harness.hpp
+++ b/tests/support/harness.hpp
@@ -163,7 +163,8 @@
 struct Host {
     std::map<std::string, std::string> rows;
     bool primary = false, silent = false, failing = false, refusing = false, checks = true;
-    std::int64_t lag_ms = 0;   // behind the present; a primary is not
+    std::int64_t lag_ms = 0;  // behind the present; a primary is not
+    int probes = 0;
     int queries = 0, cut = 0;  // asked; given up by the other side before their answer
     bool open = false;         // takes any statement: answers two columns, or what `says` holds for it
     std::map<std::string, std::string>
@@ -312,6 +313,7 @@
         }
         std::string position = std::to_string(host_.position());
         if (body == "SHOW health") {
+            ++host_.probes;
             std::string seconds =
                 position.substr(0, position.size() - 3) + "." + position.substr(position.size() - 3);
             std::string report = "x0=" + seconds + ",x1=" + (host_.primary ? "1" : "0") + ",inflight=0";
