Module: probes that reads ask for are paid for; session reads may use the primary's room

Lines at fault: probe() took no credit for those that a read in hand asks for, and choose_unfit() asks again every 100 ms for as long as a bounded read waits, at each of 48 poolers, while replicas lag or a group has no primary. Change: asked probes have a credit of their own with the same income. Both new tests fail without the change.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -240,7 +240,8 @@
     std::deque<std::pair<SessionKey, Time>> token_order;
     Time token_floor{};  // session reads without a remembered token must see this
     Duration probe_every = kProbeAtLeast;
-    double probe_credit = kProbeCredit;  // probes that requests have paid for
+    double probe_credit = kProbeCredit;  // probes that requests have paid for...
+    double ask_credit = kProbeCredit;    // ...and as many again for those that reads in hand ask for
     std::vector<Group*> active;  // by the time since which upkeep looks after them
     bool begun = false, list_asked = false, marked = false;  // marked: clients tell further tries from first
     Duration list_backoff = kListBackoff;
@@ -363,7 +364,8 @@
         r.aim = std::min(now + c.aim - passed(c, q.patience, q.repeat), r.deadline);
         Group& g = groups[q.group];
         if (c.consistency == Consistency::session) r.token = token_for(q);
-        probe_credit = std::min(probe_credit + 1 / std::max(probes_cost(), 0.1), kProbeCredit);
+        for (double* credit : {&probe_credit, &ask_credit})
+            *credit = std::min(*credit + 1 / std::max(probes_cost(), 0.1), kProbeCredit);
         use(g, r);
         // No answer could earn anything any more, or the client leaves before one usually comes: it may come
         // again with the time that it would lose. Guards members against work and closed connections.
@@ -530,10 +532,12 @@
         bool commit = c && c->consistency == Consistency::write && o.status == Status::ok;
         if (o.position && !commit) learn_position(m, *o.position);
         if (o.role == Role::primary) learn_primary(m, now);
-        if (o.role == Role::replica) {
-            m.replica_as_of = now;
-            m.primary_as_of.reset();
-        }
+        if (o.role == Role::replica) learn_replica(m, now);
+    }
+
+    static void learn_replica(Member& m, Time as_of) {
+        m.replica_as_of = std::max(m.replica_as_of.value_or(as_of), as_of);
+        m.primary_as_of.reset();
     }
 
     void learn_report(Member& m, const Report& report) {
@@ -543,10 +547,7 @@
         // A primary's position is the time of its report, which orders reports of several members.
         Time as_of = report.position.value_or(now);
         if (*report.primary) return learn_primary(m, as_of);
-        if (m.primary_as_of && as_of > *m.primary_as_of) {
-            m.replica_as_of = std::max(m.replica_as_of.value_or(as_of), as_of);
-            m.primary_as_of.reset();
-        }
+        if (m.primary_as_of && as_of > *m.primary_as_of) learn_replica(m, as_of);
     }
 
     static Duration ping(const Member& m) {
@@ -736,6 +737,8 @@
         for (Member* m : fit) nearest = std::min(nearest, ping(*m));
         std::erase_if(fit, [&](Member* m) { return ping(*m) > nearest + kPingWindow; });
         std::erase_if(fit, [&, rivals = fit.size()](Member* m) { return !room(*m, g, r, rivals); });
+        // Exception: where no replica that has reached the token has room, the primary may.
+        if (fit.empty() && r.cls->consistency == Consistency::session) return choose_primary(g, r);
         if (fit.empty()) return {Verdict::wait};
         // Exception: while some replicas are too far behind for bounded reads, they serve the any reads.
         // Guards against long reads that hold up the log on one replica after another until none is fit for
@@ -821,11 +824,8 @@
             return wa != wb ? wa > wb : a->arrived > b->arrived;
         });
         for (Live* r : queue) {
-            if (!may_go_again(*r)) {  // the window of a keyed request may have closed while it was held
-                conclude(*r);
-                continue;
-            }
-            Choice c = choose(g, *r);
+            // The window of a keyed request may have closed while it was held.
+            Choice c = may_go_again(*r) ? choose(g, *r) : Choice{Verdict::hopeless};
             if (c.verdict == Verdict::member) {
                 send(*r, *c.member);
             } else if (c.verdict == Verdict::hopeless || now >= give_up(*r)) {
@@ -1006,12 +1006,12 @@
             trip(m, Trouble::silent);
     }
 
-    // Guards against probes that grow with proxies times members: what they cost the fleet is paid for by
-    // the requests of the proxy that sends them, but for those that a read in hand asks for.
+    // Guards against probes that grow with proxies times members, or with the time that reads wait: what
+    // they cost the fleet is paid for by the requests of the proxy that sends them.
     void probe(Member& m, bool asked = false) {
-        bool paid = !asked && probes_cost() > 0;
-        if (!may_probe() || m.probing || !m.listed || (paid && probe_credit < 1)) return;
-        if (paid) probe_credit -= 1;
+        double& credit = asked ? ask_credit : probe_credit;
+        if (!may_probe() || m.probing || !m.listed || (probes_cost() > 0 && credit < 1)) return;
+        credit -= probes_cost() > 0;
         m.probing = true;
         m.probe_sent = now;
         act(Probe{m.id});
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -763,6 +763,32 @@
     EXPECT_TRUE(bed.answered(held));
 }
 
+// herd on the second deployment: 48 proxies before lagging replicas sent 57 probes a request, since a read
+// that waits asked again every 100 ms at no charge.
+TEST(LargeFleet, ReadsThatWaitAskForNoMoreProbesThanRequestsPayFor) {
+    Settings s = usual();
+    s.probe_price = 0.02;
+    Bed bed(s);
+    bed.group(5);
+    for (std::uint32_t m : {1, 2, 3, 4}) bed.shows[MemberId{m}].behind = 500ms;  // too old, not surely so
+    int before = bed.probes;
+    for (int i = 0; i < 40; ++i) {
+        bed.ask(kRead);
+        bed.run(500ms);
+    }
+    EXPECT_GT(bed.probes - before, 20);
+    EXPECT_LT(bed.probes - before, 40 * 2 + 20);
+}
+
+TEST(OrdinaryPath, SessionReadsGoToThePrimaryWhereReplicasHaveNoRoom) {
+    Bed bed;
+    bed.group(2);
+    while (bed.target(bed.ask(kAny)) == MemberId{1}) {
+    }
+    EXPECT_EQ(bed.target(bed.ask(kOwn)), kPrimary);
+    EXPECT_EQ(bed.last(bed.ask(kRead)), nullptr);  // refused, never spilled
+}
+
 // What another proxy says of a member proves nothing: it is looked at, and until it has answered all stays.
 TEST(Health, HearsayOfANewPrimaryIsWorthOneLook) {
     Bed bed;
