--- a/src/program/lifecycle.cpp
+++ b/src/program/lifecycle.cpp
@@ -348,7 +348,9 @@
         peers_->tell({m.group, clock_.to_unix(as_of), m.uid});
     });
     log_.log(Level::notice, "peers", "poolers tell each other of primaries",
-             {{"peers", std::to_string(config_.peers.size())}, {"cluster", config_.peering->cluster}});
+             {{"at", peers_->local().address().to_string() + ":" + std::to_string(peers_->local().port())},
+              {"peers", std::to_string(config_.peers.size())},
+              {"cluster", config_.peering->cluster}});
 }
 
 void Lifecycle::keep_list(std::int64_t revision) {
