--- a/src/program/lifecycle.cpp
+++ b/src/program/lifecycle.cpp
@@ -31,9 +31,9 @@
 constexpr auto kDrainSlack = milliseconds(100);
 constexpr auto kLastWords = milliseconds(50);  // for the answers of what is ended then
 constexpr auto kDrainCheck = milliseconds(5);
-// Descriptors for standard streams, the event loop, the listener, discovery, and sessions that are just
-// coming or going.
-constexpr std::size_t kSpareSockets = 40;
+// Descriptors for standard streams, the event loop, listeners, discovery, and sessions that are just coming;
+// beside them those that linger at each front.
+constexpr std::size_t kSpareSockets = 24;
 constexpr adapters::ControlLimits kControlLimits;  // its descriptors are set aside as well
 constexpr double kMemberShare = 0.3;               // of the descriptors
 constexpr double kItemShare = 0.25;  // of the memory, for items in hand; the rest is for what they are read
@@ -104,7 +104,9 @@
 void Lifecycle::start() {
     await_stop();
     await_reload();
-    std::size_t usable = config_.sockets - kSpareSockets - (config_.control ? kControlLimits.sockets() : 0);
+    std::size_t usable = config_.sockets - kSpareSockets -
+                         adapters::Door::kLingering * (config_.rest.enabled ? 2 : 1) -
+                         (config_.control ? kControlLimits.sockets() : 0);
     limits_.connect_timeout = limits_.probe_timeout = config_.connect_timeout;
     limits_.idle_limit = config_.idle_limit;
     limits_.links = std::size_t(double(usable) * kMemberShare);
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -69,15 +69,21 @@
 }
 
 int serve(const std::vector<std::string>& arguments) {
+    // A SIGHUP that comes before the loop listens waits for it: it would end the program, or be forgotten
+    // with an older file read.
+    sigset_t reload;
+    sigemptyset(&reload);
+    sigaddset(&reload, SIGHUP);
+    pthread_sigmask(SIG_BLOCK, &reload, nullptr);
     program::Config config = configure(arguments);
     std::signal(SIGPIPE, SIG_IGN);
-    std::signal(SIGHUP, SIG_IGN);  // until the loop listens for it
     program::Log log(config.name, std::to_string(::getpid()), [](const std::string& line) {
         std::fputs((line + "\n").c_str(), stdout);
         std::fflush(stdout);
     });
     program::Lifecycle lifecycle(
         config, [&] { return configure(arguments); }, log);
+    pthread_sigmask(SIG_UNBLOCK, &reload, nullptr);
     return lifecycle.run();
 }
 
--- a/src/routing/catalog.cpp
+++ b/src/routing/catalog.cpp
@@ -77,6 +77,15 @@
     if (following_) call();
 }
 
+void Catalog::set_zones(std::vector<std::string> zones) {
+    if (zones == zones_) return;
+    zones_ = std::move(zones);
+    watch_.forget();
+    if (!following_) return;
+    disconnect();
+    call();
+}
+
 void Catalog::disconnect() {
     if (connection_) connection_->close();
     connection_.reset();
--- a/src/routing/catalog.hpp
+++ b/src/routing/catalog.hpp
@@ -33,7 +33,8 @@
     // Goes on at another address, at once and with the whole list: revisions mean nothing there. Until that
     // list has come the members are those last told; called again before that, only the last address counts.
     void move_to(const transport::Endpoint& at);
-    void set_zones(std::vector<std::string> zones) { zones_ = std::move(zones); }
+    // Members are numbered by them: where they have changed, the whole list is asked for at once.
+    void set_zones(std::vector<std::string> zones);
     // Called after each list or change that is taken, with its revision.
     void on_list(std::function<void(std::int64_t revision)> hear) { heard_ = std::move(hear); }
     bool told() const { return told_; }  // the address of now has told its whole list
--- a/tests/acceptance_test.cpp
+++ b/tests/acceptance_test.cpp
@@ -610,6 +610,34 @@
     CHECK(state() == MemberState::ready);        // which may be older: discovery was set up anew
 }
 
+TEST_CASE(
+    "lists: other zones in the settings have the whole list asked for at once, and members numbered anew") {
+    Loop loop;
+    NullLogger logger;
+    routing::Clock clock;
+    Host host;
+    Discovery discovery(loop, host);
+    adapters::PgBackend backend(loop.io);
+    routing::LoopCore core(loop.io, clock, settings(), 1, {}, backend, logger);
+    routing::Catalog catalog(loop.io, *transport::read_endpoint(discovery.address()), {"a", "b"}, core,
+                             logger, {.hold = 60s, .slack = 60s, .whole = 60s, .connect = 20s});
+    loop.batch = [&] { core.run_batch(); };
+    std::string list = http::write_response(
+        200, {}, R"({"rev":1,"all":true,"targets":[{"uid":"m","endpoint":"127.0.0.1:9","az":"b"}]})", true);
+    discovery.answers = {list};
+    catalog.follow();
+    REQUIRE(loop.until([&] { return host.asked.size() == 2; }));
+    CHECK(core.listed().at(0).zone == 1);
+    catalog.set_zones({"a", "b"});  // the same: the watch goes on
+    loop.settle();
+    CHECK(host.asked.size() == 2);
+    discovery.answers = {list};
+    catalog.set_zones({"b", "c"});
+    REQUIRE(loop.until([&] { return host.asked.size() == 4; }));
+    CHECK(host.asked[2] == "/catalog/members");
+    CHECK(core.listed().at(0).zone == 0);
+}
+
 // Poolers and a discovery with room for so many calls a second, in made-up time. A call that has waited in
 // turn for a second is refused; one that comes while discovery is silent is swallowed.
 struct FleetOfWatches {
--- a/tests/program_test.sh
+++ b/tests/program_test.sh
@@ -81,6 +81,20 @@
 
 export TMPDIR="$work/scratch"
 mkdir "$TMPDIR" "$work/disk"
+# A SIGHUP that comes while the configuration is being read: it is read again, and nothing ends.
+mkfifo "$work/fifo"
+"$program" serve --config "$work/fifo" > "$work/log" 2>&1 &
+pid=$!
+exec 5> "$work/fifo"  # opens once the program has opened it
+kill -HUP $pid
+cat "$work/config.json" >&5
+exec 5>&-
+timeout 20 sh -c "cat '$work/config.json' > '$work/fifo'" || fail "a SIGHUP during the start was forgotten"
+for _ in $(seq 400); do grep -q "reload.*read again" "$work/log" && break; sleep 0.05; done
+grep -q "reload.*read again" "$work/log" || fail "a SIGHUP during the start was not followed"
+kill -TERM $pid
+wait $pid || fail "it ended with an error after an early SIGHUP"
+rm -f "$TMPDIR"/t1.*
 printf '[store]\nfolder = "%s"\n' "$work/disk" > "$work/store.toml"
 # A process that is killed, and whose scratch is lost: who was taken out is known to the next.
 "$program" serve --config "$work/config.json" --store "$work/store.toml" > "$work/log" 2>&1 &
