Process tests: descriptors filled by idle clients, restarts and ends in narrow moments; measured

Real processes with a limit of 96 descriptors set on them, discovery down or silent, 192 idle clients that stay: who asks is served, a host that drains is noticed once discovery is back, SIGTERM ends with 0. SIGTERM right after the start and twice. The code held already; planted out, the tests fail: no descriptors set aside (first case), fronts opened only once the list is told (first and second case). Planted anew after their tests were made stricter: no bound at the end, a reset taken for an end, what crosses a close read and forgotten, zones kept: each caught.

--- a/tests/processes/harness.hpp
+++ b/tests/processes/harness.hpp
@@ -47,6 +47,7 @@
     ~Process() { end(SIGKILL); }
     Process(const Process&) = delete;
 
+    pid_t id() const { return pid_; }
     void send(int number) const { REQUIRE(::kill(pid_, number) == 0); }
     // The exit status, or minus the signal that ended it.
     int end(int number) {
--- a/tests/processes/site_harness.hpp
+++ b/tests/processes/site_harness.hpp
@@ -121,6 +121,8 @@
         for (Peer* p : std::exchange(watches_, {})) p->connection->write(reply());
     }
 
+    bool watched() const { return !watches_.empty(); }  // with all that there is to tell
+
   protected:
     bool take(Peer& peer, transport::Buffer& in, std::string& out) override {
         http::Request r;
