Too few descriptors for the fronts that are on: a clear error; program_test's two races

Seen by reading: usable descriptors were counted without a sign, so that 80 with a control address gave a limit of billions; the start says so now, with the number needed (program_test). program_test hung for 120 s once beside a build: the second writer of its FIFO could write while the program was closing its first reading, which lost the second. It waits for the program's start now. Of six runs at once one then failed (a refused call at a control port of the process before): the log of a process that starts was emptied by the background shell, so that lines of the one before could be read. It is emptied first now.

--- a/src/program/lifecycle.cpp
+++ b/src/program/lifecycle.cpp
@@ -34,6 +34,7 @@
 // Descriptors for standard streams, the event loop, listeners, discovery, and sessions that are just coming;
 // beside them those that linger at each front.
 constexpr std::size_t kSpareSockets = 24;
+constexpr std::size_t kLeastSockets = 24;  // for clients and members; with fewer nobody would be served
 constexpr adapters::ControlLimits kControlLimits;  // its descriptors are set aside as well
 constexpr double kMemberShare = 0.3;               // of the descriptors
 constexpr double kItemShare = 0.25;  // of the memory, for items in hand; the rest is for what they are read
@@ -104,9 +105,12 @@
 void Lifecycle::start() {
     await_stop();
     await_reload();
-    std::size_t usable = config_.sockets - kSpareSockets -
-                         adapters::Door::kLingering * (config_.rest.enabled ? 2 : 1) -
-                         (config_.control ? kControlLimits.sockets() : 0);
+    std::size_t aside = kSpareSockets + adapters::Door::kLingering * (config_.rest.enabled ? 2 : 1) +
+                        (config_.control ? kControlLimits.sockets() : 0);
+    if (config_.sockets < aside + kLeastSockets)
+        throw ConfigError("limits.sockets: at least " + std::to_string(aside + kLeastSockets) +
+                          " are needed with the fronts that are on");
+    std::size_t usable = config_.sockets - aside;
     limits_.connect_timeout = limits_.probe_timeout = config_.connect_timeout;
     limits_.idle_limit = config_.idle_limit;
     limits_.links = std::size_t(double(usable) * kMemberShare);
--- a/tests/program_test.sh
+++ b/tests/program_test.sh
@@ -36,6 +36,8 @@
 expect 1 "can't read" "$program" check-config --config "$work/none.json"
 echo '{"listen":"nowhere"' > "$work/bad.json"
 expect 1 "bad.json" "$program" serve --config "$work/bad.json"
+sed 's/"sockets":256/"sockets":80/' "$work/config.json" > "$work/few.json"
+expect 1 "limits.sockets: at least 113" timeout 20 "$program" serve --config "$work/few.json"
 expect 0 "REST front on" "$program" check-config --config "$work/config.json" --rest "$work/rest.json"
 expect 0 "REST front off" "$program" check-config --config "$work/config.json"
 expect 0 "1 zones watched" "$program" check-config --config "$work/config.json" --sites "$(dirname "$0")/../deploy/sites.toml"
@@ -83,12 +85,15 @@
 mkdir "$TMPDIR" "$work/disk"
 # A SIGHUP that comes while the configuration is being read: it is read again, and nothing ends.
 mkfifo "$work/fifo"
+: > "$work/log"  # at once: what the process before said is not read for this one
 "$program" serve --config "$work/fifo" > "$work/log" 2>&1 &
 pid=$!
-exec 5> "$work/fifo"  # opens once the program has opened it
+exec 5> "$work/fifo"  # opens once the program has opened it, and it reads until this is closed
 kill -HUP $pid
 cat "$work/config.json" >&5
 exec 5>&-
+# It has read the first by then: a second writer before that would write to the same reading.
+for _ in $(seq 400); do grep -q "phase.*serving" "$work/log" && break; sleep 0.05; done
 timeout 20 sh -c "cat '$work/config.json' > '$work/fifo'" || fail "a SIGHUP during the start was forgotten"
 for _ in $(seq 400); do grep -q "reload.*read again" "$work/log" && break; sleep 0.05; done
 grep -q "reload.*read again" "$work/log" || fail "a SIGHUP during the start was not followed"
@@ -97,6 +102,7 @@
 rm -f "$TMPDIR"/t1.*
 printf '[store]\nfolder = "%s"\n' "$work/disk" > "$work/store.toml"
 # A process that is killed, and whose scratch is lost: who was taken out is known to the next.
+: > "$work/log"  # at once: what the process before said is not read for this one
 "$program" serve --config "$work/config.json" --store "$work/store.toml" > "$work/log" 2>&1 &
 pid=$!
 said() {  # said TEXT: the log comes to hold it
@@ -117,6 +123,7 @@
 kill -KILL $pid
 wait $pid 2>/dev/null
 rm -f "$TMPDIR"/t1.down
+: > "$work/log"  # at once: what the process before said is not read for this one
 "$program" serve --config "$work/config.json" --store "$work/store.toml" > "$work/log" 2>&1 &
 pid=$!
 said 'phase.*serving'
@@ -139,6 +146,7 @@
 expect 0 "route     replica" "$program" shapes explain --rules "$here/deploy/statements.toml" "SELECT 1"
 printf '[statements]\nread_class = "nobody"\n' > "$work/other.toml"
 expect 1 "no class 'nobody'" "$program" check-config --config "$work/config.json" --statements "$work/other.toml"
+: > "$work/log"  # at once: what the process before said is not read for this one
 "$program" serve --config "$work/config.json" --rest "$work/rest.json" --statements "$work/statements.toml" > "$work/log" 2>&1 &
 pid=$!
 for _ in $(seq 400); do grep -q "phase.*serving" "$work/log" && break; sleep 0.05; done
