--- a/src/routing/list_watch.hpp
+++ b/src/routing/list_watch.hpp
@@ -90,7 +90,6 @@
         backoff_ = {};
     }
     std::optional<std::int64_t> revision() const { return revision_; }
-    bool watching() const { return watching_; }
 
   private:
     Timing timing_;
--- a/tests/acceptance_test.cpp
+++ b/tests/acceptance_test.cpp
@@ -4,9 +4,8 @@
 
 #include "adapters/pg_front.hpp"
 #include "adapters/rest_front.hpp"
-#include "routing/catalog.hpp"
 #include "support/deployment.hpp"
-#include "transport/endpoint.hpp"
+#include "support/discovery.hpp"
 
 namespace indigovane::testing {
 namespace {
@@ -529,40 +528,15 @@
 
 // ---- discovery -----------------------------------------------------------------------------------------
 
-struct Discovery : StandIn {
-    using StandIn::StandIn;
-    bool take(Peer&, transport::Buffer& in, std::string& out) override {
-        http::Request r;
-        std::size_t length = 0;
-        if (http::Parser({65536, 1 << 20}).request(in.view(), r, length) != http::Next::message) return false;
-        host_.asked.push_back(std::string(r.target));
-        in.consume(length);
-        out += answers.empty() ? "" : answers.front();
-        if (!answers.empty()) answers.erase(answers.begin());
-        return true;
-    }
-    std::vector<std::string> answers;
-};
-
 TEST_CASE(
     "lists: one without a length ends with its connection, a cut one is none, older changes are not laid "
     "on") {
-    Loop loop;
-    NullLogger logger;
-    routing::Clock clock;
-    Host host;
-    Discovery discovery(loop, host);
-    adapters::PgBackend backend(loop.io);
-    routing::LoopCore core(loop.io, clock, settings(), 1, {}, backend, logger);
-    routing::Catalog catalog(loop.io, *transport::read_endpoint(discovery.address()), {"a"}, core, logger,
-                             {.hold = 60s,
-                              .slack = 60s,
-                              .whole = 60s,
-                              .retry = 1ms,
-                              .again = 1ms,
-                              .retry_most = 1ms,
-                              .connect = 20s});
-    loop.batch = [&] { core.run_batch(); };
+    ListRig rig({"a"});
+    auto& loop = rig.loop;
+    auto& host = rig.host;
+    auto& discovery = rig.agent;
+    auto& core = rig.core;
+    auto& catalog = rig.catalog;
     auto list = [](int rev, bool all, const char* state) {
         return "{\n \"rev\": " + std::to_string(rev) + ",\n \"all\": " + (all ? "true" : "false") +
                ",\n \"targets\": [\n  "
@@ -575,8 +549,8 @@
         auto all = core.listed();
         return all.empty() ? MemberState::gone : all[0].state;
     };
-    auto asked = [&](std::size_t n) { return loop.until([&] { return host.asked.size() >= n; }); };
-    discovery.answers = {bare + list(41, true, "ready"), bare + list(43, false, "draining")};
+    auto asked = [&](std::size_t n) { return rig.asked(n); };
+    discovery.replies = {bare + list(41, true, "ready"), bare + list(43, false, "draining")};
     catalog.follow();
     REQUIRE(asked(1));
     loop.settle();
@@ -590,19 +564,19 @@
     REQUIRE(asked(3));
     CHECK(state() == MemberState::draining);
     // All of it, and a reset: that is no end. Half of it, and the end: what was held stays, asked for anew.
-    discovery.answers = {bare + list(44, false, "ready")};
+    discovery.replies = {bare + list(44, false, "ready")};
     discovery.drop_all();
     REQUIRE(asked(4));
     loop.settle();
     discovery.reset_all();
     REQUIRE(asked(5));
     CHECK(state() == MemberState::draining);
-    discovery.answers = {bare + list(44, true, "ready").substr(0, 40)};
+    discovery.replies = {bare + list(44, true, "ready").substr(0, 40)};
     discovery.drop_all();
     REQUIRE(asked(6));
     loop.settle();
     discovery.drop_all();
-    discovery.answers = {http::write_response(200, {}, list(43, true, "draining"), true),
+    discovery.replies = {http::write_response(200, {}, list(43, true, "draining"), true),
                          http::write_response(200, {}, list(42, false, "ready"), true),
                          http::write_response(200, {}, list(42, true, "ready"), true)};
     REQUIRE(asked(10));
@@ -613,26 +587,22 @@
 
 TEST_CASE(
     "lists: other zones in the settings have the whole list asked for at once, and members numbered anew") {
-    Loop loop;
-    NullLogger logger;
-    routing::Clock clock;
-    Host host;
-    Discovery discovery(loop, host);
-    adapters::PgBackend backend(loop.io);
-    routing::LoopCore core(loop.io, clock, settings(), 1, {}, backend, logger);
-    routing::Catalog catalog(loop.io, *transport::read_endpoint(discovery.address()), {"a", "b"}, core,
-                             logger, {.hold = 60s, .slack = 60s, .whole = 60s, .connect = 20s});
-    loop.batch = [&] { core.run_batch(); };
+    ListRig rig({"a", "b"});
+    auto& loop = rig.loop;
+    auto& host = rig.host;
+    auto& discovery = rig.agent;
+    auto& core = rig.core;
+    auto& catalog = rig.catalog;
     std::string list = http::write_response(
         200, {}, R"({"rev":1,"all":true,"targets":[{"uid":"m","endpoint":"127.0.0.1:9","az":"b"}]})", true);
-    discovery.answers = {list};
+    discovery.replies = {list};
     catalog.follow();
     REQUIRE(loop.until([&] { return host.asked.size() == 2; }));
     CHECK(core.listed().at(0).zone == 1);
     catalog.set_zones({"a", "b"});  // the same: the watch goes on
     loop.settle();
     CHECK(host.asked.size() == 2);
-    discovery.answers = {list};
+    discovery.replies = {list};
     catalog.set_zones({"b", "c"});
     REQUIRE(loop.until([&] { return host.asked.size() == 4; }));
     CHECK(host.asked[2] == "/catalog/members");
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -5,7 +5,7 @@
 #include "program/log.hpp"
 #include "protocol/syslog.hpp"
 #include "routing/catalog.hpp"
-#include "support/harness.hpp"
+#include "support/discovery.hpp"
 #include "transport/endpoint.hpp"
 
 namespace indigovane::testing {
@@ -13,26 +13,6 @@
 
 namespace syslog = protocol::syslog;
 
-struct Agent : StandIn {
-    using StandIn::StandIn;
-    bool take(Peer& peer, transport::Buffer& in, std::string& out) override {
-        http::Request r;
-        std::size_t length = 0;
-        if (http::Parser({65536, 1 << 20}).request(in.view(), r, length) != http::Next::message) return false;
-        host_.asked.push_back(std::string(r.target));
-        in.consume(length);
-        if (replies.empty()) {
-            peer.waiting = true;  // silence
-        } else {
-            out += replies.front();
-            replies.erase(replies.begin());
-        }
-        return true;
-    }
-    static std::string reply(const std::string& body) { return http::write_response(200, {}, body, true); }
-    std::vector<std::string> replies;
-};
-
 TEST_CASE("the list is fetched, then watched, through silence, resets and nonsense") {
     Loop loop;
     NullLogger logger;
--- /dev/null
+++ b/tests/support/discovery.hpp
@@ -0,0 +1,58 @@
+// Discovery as the tests of the list's watch have it: what it answers next, as it stands, and what it was
+// asked.
+#pragma once
+
+#include "adapters/pg_backend.hpp"
+#include "routing/catalog.hpp"
+#include "support/harness.hpp"
+#include "transport/endpoint.hpp"
+
+namespace indigovane::testing {
+
+struct Agent : StandIn {
+    using StandIn::StandIn;
+    bool take(Peer& peer, transport::Buffer& in, std::string& out) override {
+        http::Request r;
+        std::size_t length = 0;
+        if (http::Parser({65536, 1 << 20}).request(in.view(), r, length) != http::Next::message) return false;
+        host_.asked.push_back(std::string(r.target));
+        in.consume(length);
+        if (replies.empty()) {
+            peer.waiting = true;  // silence
+        } else {
+            out += replies.front();
+            replies.erase(replies.begin());
+        }
+        return true;
+    }
+    static std::string reply(const std::string& body) { return http::write_response(200, {}, body, true); }
+    std::vector<std::string> replies;
+};
+
+// A watch of it. Whatever fails is tried again at once, and what is silent is waited for.
+struct ListRig {
+    Loop loop;
+    NullLogger logger;
+    routing::Clock clock;
+    Host host;
+    Agent agent{loop, host};
+    adapters::PgBackend backend{loop.io};
+    routing::LoopCore core{loop.io, clock, settings(), 1, {}, backend, logger};
+    routing::Catalog catalog;
+    explicit ListRig(std::vector<std::string> zones)
+        : catalog(loop.io, *transport::read_endpoint(agent.address()), std::move(zones), core, logger,
+                  {.hold = 60s,
+                   .slack = 60s,
+                   .whole = 60s,
+                   .retry = 1ms,
+                   .again = 1ms,
+                   .retry_most = 1ms,
+                   .connect = 20s}) {
+        loop.batch = [this] { core.run_batch(); };
+    }
+    bool asked(std::size_t n) {
+        return loop.until([&] { return host.asked.size() >= n; });
+    }
+};
+
+}  // namespace indigovane::testing
