--- a/src/adapters/control_front.cpp
+++ b/src/adapters/control_front.cpp
@@ -52,7 +52,8 @@
         } else {
             connection_->write(std::move(answer) + "\n");
             // What is unread yet would reset the connection before the answer is read: it lingers.
-            connection_->close_after_writing(front_.linger());
+            connection_->close_after_writing(transport::Connection::Crossing::discard);
+            front_.lingering_.add(connection_);
         }
         front_.leave(number_);
     }
@@ -69,6 +70,7 @@
                            Operations& operations, routing::Logger& logger)
     : io_(io),
       limits_(limits),
+      lingering_(limits.lingering),
       operations_(operations),
       logger_(logger),
       listener_(io, at, [this](auto socket) { take(std::move(socket)); }) {}
@@ -96,10 +98,6 @@
     callers_.erase(number);
 }
 
-std::shared_ptr<void> ControlFront::linger() const {
-    return std::size_t(lingering_.use_count()) <= limits_.lingering ? lingering_ : nullptr;
-}
-
 Operations::Reply ControlFront::site(const std::string& argument) {
     std::size_t space = argument.find(' ');
     std::string what = argument.substr(0, space);
--- a/src/adapters/control_front.hpp
+++ b/src/adapters/control_front.hpp
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "routing/interfaces.hpp"
+#include "transport/lingering.hpp"
 #include "transport/listener.hpp"
 
 namespace indigovane::adapters {
@@ -58,17 +59,16 @@
     class Caller;
     void take(boost::asio::ip::tcp::socket socket);
     void leave(std::uint64_t number);
-    std::shared_ptr<void> linger() const;
     Operations::Reply answer(std::string_view line);
     Operations::Reply site(const std::string& argument);
 
     boost::asio::io_context& io_;
     ControlLimits limits_;
+    transport::Lingering lingering_;
     Operations& operations_;
     routing::Logger& logger_;
     std::map<std::uint64_t, std::shared_ptr<Caller>> callers_;  // by their coming
     std::uint64_t came_ = 0;
-    std::shared_ptr<int> lingering_ = std::make_shared<int>(0);  // as many others hold it as linger
     transport::Listener listener_;
 };
 
--- a/src/adapters/door.cpp
+++ b/src/adapters/door.cpp
@@ -109,7 +109,7 @@
     if (served_ <= served_most_) return;
     for (const auto& [use, other] : sessions_)
         if (other->served && other.get() != &session && other->between_requests()) {
-            close(std::shared_ptr(other));
+            std::shared_ptr(other)->give_way();
             return;
         }
 }
@@ -130,16 +130,11 @@
             if (kind(*s) == 0) break;
         }
     if (first)
-        close(first);
+        first->give_way();
     else
         listener_.pause();
 }
 
-void Door::close(const std::shared_ptr<Session>& session) {
-    session->close();
-    leave(session);
-}
-
 bool Door::grant(Session& session, std::size_t bytes) {
     if (long_ + bytes > long_most_) {
         waiting_[&session] = session.weak_from_this();
@@ -178,9 +173,8 @@
     return bytes_ > bytes_most_ && held > small;
 }
 
-std::shared_ptr<void> Door::linger() const {
-    constexpr long most = 16;
-    return lingering_.use_count() <= most ? lingering_ : nullptr;
+void Door::linger(const std::shared_ptr<transport::Connection>& connection) {
+    (retiring_ ? retired_ : lingering_).add(connection);
 }
 
 }  // namespace indigovane::adapters
--- a/src/adapters/door.hpp
+++ b/src/adapters/door.hpp
@@ -5,6 +5,7 @@
 #include <memory>
 
 #include "adapters/session.hpp"
+#include "transport/lingering.hpp"
 #include "transport/listener.hpp"
 
 namespace indigovane::adapters {
@@ -44,8 +45,9 @@
     bool retires(const Session& session) const;
     // Whether the sessions hold too much and this one has a large part in it.
     bool crowded(Session& session);
-    // A token for a connection that lingers after its session; none when too many do.
-    std::shared_ptr<void> linger() const;
+    static constexpr std::size_t kLingering = 16;  // connections that outlast their session
+    void linger(const std::shared_ptr<transport::Connection>& connection);
+    std::size_t lingering() const override { return lingering_.count() + retired_.count(); }
 
   protected:
     virtual std::shared_ptr<Session> open() = 0;
@@ -55,7 +57,6 @@
     void take_in(std::shared_ptr<Session> session, boost::asio::ip::tcp::socket socket,
                  std::string_view read);
     void make_room(const Session& newcomer);
-    void close(const std::shared_ptr<Session>& session);
 
     boost::asio::io_context& io_;
     transport::Listener listener_;
@@ -64,7 +65,8 @@
     std::uint64_t uses_ = 0;
     std::size_t served_most_ = std::size_t(-1), served_ = 0;
     std::size_t bytes_most_ = 16 << 20, bytes_ = 0;
-    std::shared_ptr<int> lingering_ = std::make_shared<int>(0);  // as many others hold it as linger
+    transport::Lingering lingering_{kLingering};
+    transport::Lingering retired_{std::size_t(-1)};  // nobody new wants their descriptors
     void sweep();
 
     std::size_t long_most_ = 32 << 20, long_ = 0;
--- a/src/adapters/limited_intake.cpp
+++ b/src/adapters/limited_intake.cpp
@@ -183,6 +183,18 @@
     });
 }
 
+// Guards what waits across a change of the settings: by its old number it would be taken for another class,
+// with another class's effect. What belongs to a class that is gone ends here; it never ran.
+void LimitedIntake::renumber(const std::vector<std::optional<ClassId>>& continues) {
+    for (auto& [id, ticket] : tickets_) {
+        if (!ticket->held_) continue;
+        ticket->item_.cls = renumbered(ticket->item_.cls, continues);
+        if (ticket->item_.cls == kNoClass)
+            refused_.push_back({id, limits::Word::refuse, limits::Cause::none, {}});
+    }
+    wake();
+}
+
 void LimitedIntake::set(const limits::Settings& settings) {
     limiter_.set(settings);
     wake();
--- a/src/adapters/limited_intake.hpp
+++ b/src/adapters/limited_intake.hpp
@@ -31,6 +31,8 @@
     void withdraw(routing::RequestId id) override;
 
     void set(const limits::Settings& settings);  // for what comes and what waits
+    // Classes have other numbers from now on, also those of what waits.
+    void renumber(const std::vector<std::optional<routing::ClassId>>& continues);
     bool idle() const { return tickets_.empty(); }
     const limits::Limiter& limiter() const { return limiter_; }
     void learn(const limits::CostModel::Prior& prior) { limiter_.learn(prior, now()); }
--- a/src/adapters/pg_front.cpp
+++ b/src/adapters/pg_front.cpp
@@ -119,6 +119,7 @@
         }
         switch (m.type) {
             case 'Q':
+                length_ = length;
                 query(m.body);
                 break;
             case 'X':
@@ -171,7 +172,7 @@
             return reject({pg::sqlstate::invalid_parameter, "a request of this id is in hand"});
         // The item keeps the statement and what was read from it.
         if (!has_room(sql.size() + std::min(sql.size(), kUsualMessage))) return too_much();
-        ask(std::move(item));
+        ask(std::move(item), length_);
     }
 
     void too_much() {
@@ -218,7 +219,7 @@
         if (is_open(item.id))
             return reject({pg::sqlstate::invalid_parameter, "a request of this id is in hand"});
         if (!has_room(2 * sql.size())) return too_much();
-        ask(std::move(item));
+        ask(std::move(item), length_);
     }
 
     std::optional<Rejection> read_open(std::string_view sql, const pg::Statement& s,
@@ -442,7 +443,7 @@
     bool fatal(std::string_view code, std::string_view text) {
         write(pg::Writer().error("FATAL", code, text).take());
         logger_.log(Level::warning, "fatal", std::string(text), {{"sqlstate", std::string(code)}});
-        leave(true);
+        leave(transport::Connection::Crossing::discard);
         return false;
     }
 
@@ -452,6 +453,7 @@
     Statements* statements_;
     std::string user_, peer_name_;
     std::size_t longest_;              // message
+    std::size_t length_ = 0;           // of the query at hand
     transport::Buffer* in_ = nullptr;  // the connection's
     Expects expects_ = Expects::startup;
     int declined_ = 0;
--- a/src/adapters/rest_front.cpp
+++ b/src/adapters/rest_front.cpp
@@ -249,7 +249,7 @@
     bool hang_up(const Problem& p) {
         keep_alive_ = head_only_ = false;
         write(message(p, {}));
-        leave(true);
+        leave(transport::Connection::Crossing::discard);
         return false;
     }
 
--- a/src/adapters/session.cpp
+++ b/src/adapters/session.cpp
@@ -11,6 +11,7 @@
       connection_(std::make_shared<transport::Connection>(io)),
       timer_(io) {
     connection_->limit_unread(limits.unread);
+    connection_->watch_for_hangup();
 }
 
 Session::~Session() {
@@ -68,6 +69,7 @@
 void Session::on_data(transport::Buffer& in) {
     auto self = shared_from_this();
     in_ = &in;
+    arrivals_.came(in.consumed() + in.size(), in.consumed(), std::chrono::steady_clock::now());
     work();
 }
 
@@ -117,7 +119,13 @@
     return true;
 }
 
-void Session::ask(routing::Item item) {
+// Guards against answering a request that waited behind others when its client has given it up: its time
+// counts from its last byte, whenever its turn comes.
+void Session::ask(routing::Item item, std::size_t unread) {
+    auto now = std::chrono::steady_clock::now();
+    auto waited =
+        std::chrono::duration_cast<routing::Duration>(now - arrivals_.at(in_->consumed() + unread, now));
+    item.patience = std::max(routing::Duration::zero(), item.patience - waited);
     door_.touch(*this);
     has_begun_ = progress_ = true;
     state_ = State::asked;
@@ -153,12 +161,14 @@
     if (state_ == State::between) door_.touch(*this);
 }
 
-void Session::leave(bool unread) {
+void Session::leave(transport::Connection::Crossing crossing) {
     if (state_ == State::over) return;
+    auto self = shared_from_this();
     state_ = State::over;
     timer_.cancel();
-    connection_->close_after_writing(unread ? door_.linger() : nullptr);
-    door_.leave(shared_from_this());
+    connection_->close_after_writing(crossing);
+    door_.linger(connection_);
+    door_.leave(self);
 }
 
 // Guards against clients that hold a connection and its memory without ever being served: silent ones, those
--- a/src/adapters/session.hpp
+++ b/src/adapters/session.hpp
@@ -5,6 +5,7 @@
 #include <memory>
 
 #include "routing/interfaces.hpp"
+#include "transport/arrivals.hpp"
 #include "transport/connection.hpp"
 
 namespace indigovane::adapters {
@@ -33,9 +34,10 @@
     std::optional<routing::ClientParcel> release();  // the session is over then; nothing: not now
     // Before begin().
     virtual void restore(char, std::string_view) { has_begun_ = true; }
-    bool between_requests();  // nothing is owed to this client, and nothing of it is unread
-    void retire();            // closes if that is so and the door wants it
-    void close();             // at once
+    bool between_requests();      // nothing is owed to this client, and nothing of it is unread
+    void retire();                // closes if that is so and the door wants it
+    void give_way() { leave(); }  // between requests
+    void close();                 // at once
     // The door's notes on it.
     std::uint64_t used = 0;                      // when it last had a request, or came, as a count
     std::chrono::steady_clock::time_point came;  // and the time that it came
@@ -59,15 +61,16 @@
     // there is.
     bool expect(std::size_t length);
     static constexpr auto kLongest = std::chrono::seconds(30);  // for one that is under way all the time
-    void ask(routing::Item item);                               // one request; served() or ended() follows
+    // One request; served() or ended() follows. `unread`: of its message, bytes that are in the buffer yet.
+    void ask(routing::Item item, std::size_t unread = 0);
     bool has_room(std::size_t bytes) const { return intake_.has_room(bytes); }
     void answered(std::string bytes);
     bool pass_on(std::string bytes);  // part of the answer; false: resume() follows, when there is room
     void break_off();                 // the answer can't be finished: the client is to see that
     void write(std::string bytes) { connection_->write(std::move(bytes)); }
     bool is_open(const std::string& id) const { return intake_.is_open(id); }
-    // What is written still goes out. `unread`: the client may be sending yet, and shall see the last words.
-    void leave(bool unread = false);
+    // What is written still goes out, and the connection is half-closed.
+    void leave(transport::Connection::Crossing crossing = transport::Connection::Crossing::unread);
     // Of this client's connection: the same in the process that it is handed over to.
     std::string peer() const;
     bool asked() const { return state_ == State::asked; }
@@ -90,6 +93,7 @@
     std::shared_ptr<transport::Connection> connection_;
     boost::asio::steady_timer timer_;
     transport::Buffer* in_ = nullptr;  // the connection's
+    transport::Arrivals arrivals_;     // of what is in it
     State state_ = State::between;
     routing::RequestId request_{};
     std::size_t seen_ = 0;  // of a long message when the watch began
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -192,7 +192,7 @@
     std::size_t most_attempts = 0;
     GroupId group{};
     std::optional<SessionKey> session{};
-    Time token{};     // a session read must see this
+    Time token{};     // a session read must see this, where its client says so
     double draw = 0;  // uniform in [0, 1): its place in whatever lets only a share of requests pass
     Time arrived{}, deadline{}, aim{};
     bool finished = false, held = false, begun = false;
@@ -202,17 +202,12 @@
     int asks = 0;
     std::optional<Time> timer{};
 
-    int out() const {
-        return int(std::count_if(attempts.begin(), attempts.end(),
-                                 [](const Attempt& a) { return a.fate == Fate::out; }));
-    }
+    int out() const { return int(std::ranges::count(attempts, Fate::out, &Attempt::fate)); }
     int may_have_run() const {
-        return int(std::count_if(attempts.begin(), attempts.end(),
-                                 [](const Attempt& a) { return a.fate != Fate::never_ran; }));
-    }
-    bool tried(const Member* m) const {
-        return std::any_of(attempts.begin(), attempts.end(), [m](const Attempt& a) { return a.member == m; });
+        return int(attempts.size()) - int(std::ranges::count(attempts, Fate::never_ran, &Attempt::fate));
     }
+    bool tried(const Member* m) const { return std::ranges::count(attempts, m, &Attempt::member) > 0; }
+    bool writes_of(SessionKey s) const { return session == s && cls->consistency == Consistency::write; }
     bool for_primary() const {
         return cls->consistency == Consistency::write || cls->consistency == Consistency::fresh;
     }
@@ -363,7 +358,7 @@
         r.deadline = now + q.patience;
         r.aim = std::min(now + c.aim - passed(c, q.patience, q.repeat), r.deadline);
         Group& g = groups[q.group];
-        if (c.consistency == Consistency::session) r.token = token_for(q);
+        if (q.since_last_write) r.token = now - *q.since_last_write;
         for (double* credit : {&probe_credit, &ask_credit})
             *credit = std::min(*credit + 1 / std::max(probes_cost(), 0.1), kProbeCredit);
         use(g, r);
@@ -422,10 +417,13 @@
         return std::max(Duration::zero(), c.deadline - patience);
     }
 
-    Time token_for(const Request& q) const {
-        if (set.tokens.value_or(TokenSource::carried) == TokenSource::carried)
-            return q.since_last_write ? now - *q.since_last_write : Time{};
-        auto it = q.session ? tokens.find(*q.session) : tokens.end();
+    // As the client carries it, or as it is remembered now: a session may write while a read of it waits.
+    // Where hosts don't check, a write that is out may have been answered already.
+    Time token(const Live& r) const {
+        if (set.tokens.value_or(TokenSource::carried) == TokenSource::carried) return r.token;
+        auto out = [&](auto& l) { return l.second.writes_of(*r.session) && l.second.may_have_run() > 0; };
+        if (!checked() && r.session && std::ranges::any_of(live, out)) return now;
+        auto it = r.session ? tokens.find(*r.session) : tokens.end();
         return it == tokens.end() ? token_floor : std::max(it->second, token_floor);
     }
 
@@ -697,7 +695,7 @@
 
     std::optional<Time> needed(const Live& r) const {
         if (r.cls->consistency == Consistency::bounded) return now - r.cls->bound;
-        if (r.cls->consistency == Consistency::session && r.token > Time{}) return r.token;
+        if (r.cls->consistency == Consistency::session && token(r) > Time{}) return token(r);
         return std::nullopt;
     }
 
@@ -771,7 +769,7 @@
             std::shuffle(hopeful.begin(), hopeful.end(), random);
             Member* least = nullptr;
             for (Member* m : hopeful)
-                if (!falls_short(*m, r.token) && (!least || stands(*m) > stands(*least))) least = m;
+                if (!falls_short(*m, token(r)) && (!least || stands(*m) > stands(*least))) least = m;
             if (least) return {Verdict::member, least};
         } else if (!checked() && may_probe() && (bounded || r.asks < kSessionAsks)) {
             if (r.asked && r.asked->probing &&
@@ -839,6 +837,7 @@
 
     void send(Live& r, Member& m) {
         r.held = false;
+        Time start_by = std::min(worth_holding_until(r), repeat_until(r));
         r.attempts.push_back({&m, now, Fate::out});
         m.awaited_ms = m.out == 0 ? r.cls->usual_ms : std::max(m.awaited_ms, r.cls->usual_ms);
         if (m.out++ == 0) m.silent_since = now;
@@ -848,7 +847,6 @@
         }
         // Without a connection by then it ends, with time left to go elsewhere or to come again. Others can
         // serve a read within its aim: it does not wait out a connection that does not come up.
-        Time start_by = worth_holding_until(r);
         if (!r.for_primary())
             start_by = std::min(start_by, now + std::max(kLeastStart, (r.aim - now) / kStartsPerAim));
         act(Send{r.id, m.id, std::nullopt, needed(r), start_by - now});
@@ -862,9 +860,9 @@
     void settle(Group& g, Live& r, const Outcome& o) {
         if (o.attempt < r.attempts.size())
             r.attempts[o.attempt].fate = proves_never_ran(o.status) ? Fate::never_ran : Fate::may_have_run;
-        if (o.finished && o.status == Status::ok && r.cls->consistency == Consistency::write && r.session &&
-            o.position)
-            remember(*r.session, *o.position);
+        bool ok = o.status == Status::ok, lost = !checked() && !ok && !proves_never_ran(o.status);
+        if (r.session && r.writes_of(*r.session) && (lost || (o.finished && ok && o.position)))
+            remember(*r.session, lost ? now : *o.position);
         if (o.finished || r.finished) return finish(r);
         if (r.out() > 0) return;
         may_go_again(r) ? hold(g, r) : conclude(r);
@@ -876,11 +874,14 @@
         if (r.may_have_run() > kRepeats) return false;
         if (r.cls->effect == Effect::safe || !r.may_have_run()) return true;
         if (r.cls->effect == Effect::unsafe) return false;
-        if (r.cls->scope == RepeatScope::zone)
-            return false;  // a group may span zones: no repeat is sure to be dropped
-        for (const Attempt& a : r.attempts)
-            if (a.fate != Fate::never_ran && now >= a.sent + r.cls->window - kUpkeep) return false;
-        return true;
+        // A group may span zones: no repeat is sure to be dropped there.
+        return r.cls->scope != RepeatScope::zone && now < repeat_until(r);
+    }
+    // From the first send that may have run. What waits for a connection then may not begin any more.
+    static Time repeat_until(const Live& r) {
+        auto first = std::ranges::find_if(r.attempts, [](auto& a) { return a.fate != Fate::never_ran; });
+        if (first == r.attempts.end() || r.cls->effect == Effect::safe) return Time::max();
+        return first->sent + r.cls->window - kUpkeep;
     }
 
     // A request in hand is looked at again: its time is up, or it may be.
--- a/src/program/lifecycle.cpp
+++ b/src/program/lifecycle.cpp
@@ -26,7 +26,10 @@
 // Costs of shapes are written down this often, of so many.
 constexpr auto kKeepShapesEvery = std::chrono::seconds(10);
 constexpr std::size_t kShapesKept = 512;
-constexpr auto kDrainSlack = milliseconds(150);
+// After the longest deadline, before a kill that comes 700 ms after it at the soonest (500 of them are
+// kLinger).
+constexpr auto kDrainSlack = milliseconds(100);
+constexpr auto kLastWords = milliseconds(50);  // for the answers of what is ended then
 constexpr auto kDrainCheck = milliseconds(5);
 // Descriptors for standard streams, the event loop, the listener, discovery, and sessions that are just
 // coming or going.
@@ -125,7 +128,8 @@
     bool asked = config_.settings.list_mode == starlingpond::ListMode::asked;
     catalog_ = std::make_unique<Catalog>(
         io_, config_.discovery, config_.zones, *core_, log_,
-        asked ? Catalog::shared(config_.settings.fleet_size.value_or(1)) : Catalog::Timing{}, config_.seed);
+        asked ? ListWatch::shared(config_.settings.fleet_size.value_or(1)) : ListWatch::Timing{},
+        config_.seed);
     if (config_.store) open_store();
     if (keeper_ && limited_)
         for (const auto& prior : keeper_->shapes()) limited_->learn(prior);
@@ -270,6 +274,7 @@
         const adapters::ClassInfo* before = config_.classes.find(c.name);
         continues.push_back(before ? std::optional(before->id) : std::nullopt);
     }
+    if (limited_) limited_->renumber(continues);
     core_->retune(fresh.settings, std::move(continues), fresh.connect_timeout, fresh.idle_limit);
     retune_statements(fresh);
     if (bool(fresh.sites) != bool(config_.sites))
@@ -532,8 +537,7 @@
 void Lifecycle::on_heir_ready() {
     if (phase_ != Phase::lingering) return;
     timer_.cancel();
-    drain_until_ =
-        clock_.now() + std::max<Duration>(config_.longest_deadline, std::chrono::seconds(3)) + kDrainSlack;
+    bound_drain();
     for (auto& front : fronts_) front->stop_accepting();
     // The heir can open it from now on. What is still acknowledged here is told to the heir, which writes it
     // down.
@@ -565,9 +569,16 @@
     });
 }
 
-void Lifecycle::begin_drain() {
+// What comes late in it has less time than it asked for, and what is left at the end is answered all the
+// same.
+void Lifecycle::bound_drain() {
     drain_until_ =
         clock_.now() + std::max<Duration>(config_.longest_deadline, std::chrono::seconds(3)) + kDrainSlack;
+    core_->finish_by(drain_until_);
+}
+
+void Lifecycle::begin_drain() {
+    bound_drain();
     for (auto& front : fronts_) {
         front->stop_accepting();
         front->close_idle();
@@ -577,9 +588,11 @@
 
 void Lifecycle::check_drained() {
     bool empty = core_->idle() && (!limited_ || limited_->idle());
-    for (auto& front : fronts_) empty = empty && front->connections() == 0;
+    for (auto& front : fronts_) empty = empty && front->connections() == 0 && front->lingering() == 0;
     if (phase_ == Phase::handing_over) empty = empty && succession_.all_sent();
-    if (empty || clock_.now() >= drain_until_) {
+    Time now = clock_.now();
+    if (now >= drain_until_ && !core_->idle()) core_->finish_all();
+    if (empty || now >= drain_until_ + kLastWords) {
         if (keeper_ && keeper_->is_open()) keeper_->close();
         enter(Phase::stopped);
         return;
--- a/src/program/lifecycle.hpp
+++ b/src/program/lifecycle.hpp
@@ -66,6 +66,7 @@
     bool may_open_fronts() const;
     void hand_over();
     void begin_drain();
+    void bound_drain();
 
     std::vector<std::pair<std::string, int>> listening_sockets() override;
     starlingpond::Tokens tokens() override { return core_->tokens(); }
--- a/src/routing/catalog.cpp
+++ b/src/routing/catalog.cpp
@@ -1,6 +1,7 @@
 #include "routing/catalog.hpp"
 
 #include <algorithm>
+#include <boost/asio/error.hpp>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
@@ -48,7 +49,7 @@
       zones_(std::move(zones)),
       core_(core),
       logger_(logger),
-      timing_(timing),
+      watch_(timing),
       parser_({.head = 16384, .body = 4 << 20}),
       timer_(io),
       random_(std::minstd_rand::result_type(seed ^ seed >> 32)) {}
@@ -59,7 +60,7 @@
 
 void Catalog::seed(const MemberList& known) {
     core_.list(ListKind::cached, known.members);
-    if (timing_.from_known && known.all) revision_ = known.revision;
+    if (watch_.timing().from_known && known.all) watch_.know(known.revision);
 }
 
 void Catalog::follow() {
@@ -71,9 +72,8 @@
     if (at == at_) return;  // the watch goes on
     at_ = at;
     disconnect();
-    revision_.reset();
-    told_ = watching_ = false;
-    backoff_ = {};
+    watch_.restart();
+    told_ = false;
     if (following_) call();
 }
 
@@ -99,34 +99,26 @@
         parser_ = protocol::http::Parser({.head = 16384, .body = 4 << 20});
         connection_ = std::make_shared<transport::Connection>(io_);
         connection_->limit_unread(5 << 20);
-        connection_->connect(at_, timing_.connect, *this);
+        connection_->connect(at_, watch_.timing().connect, *this);
         return;
     }
     if (called_ || !connection_->open()) return;
     called_ = true;
+    ListWatch::Call call = watch_.next();
     std::string target = "/catalog/members";
-    if (revision_)
-        target += "?from=" + std::to_string(*revision_) + "&hold_ms=" + std::to_string(timing_.hold.count());
+    if (call.from)
+        target += "?from=" + std::to_string(*call.from) + "&hold_ms=" + std::to_string(call.hold.count());
     connection_->write(protocol::http::write_request(
         "GET", target, at_.address().to_string() + ":" + std::to_string(at_.port()), {}));
     // A silent agent keeps its connection open: only the clock tells.
-    set_timer(!revision_ ? timing_.whole : timing_.hold + (watching_ ? timing_.slack : timing_.whole),
-              &Catalog::no_answer);
+    set_timer(call.patience, &Catalog::no_answer);
 }
 
-void Catalog::lost(const char* why) {
+void Catalog::lost(ListWatch::Failure how, const char* why) {
     logger_.log(Level::warning, "discovery", "the list of members can't be followed now", {{"why", why}});
-    bool watched = std::exchange(watching_, false);
     disconnect();
-    // Guards a discovery that is short of room against all poolers that ask again at once, and in step.
-    auto wait = timing_.retry;
-    if (!watched) {
-        if (backoff_.count() == 0) backoff_ = timing_.again;
-        wait = backoff_ / 2 +
-               std::chrono::milliseconds(std::int64_t(random_() % std::uint64_t(backoff_.count() + 1)));
-        backoff_ = std::min(backoff_ * 2, timing_.retry_most);
-    }
-    set_timer(wait, &Catalog::call);
+    set_timer(watch_.failed(how, double(random_() - random_.min()) / double(random_.max() - random_.min())),
+              &Catalog::call);
 }
 
 void Catalog::on_connected() {
@@ -137,42 +129,59 @@
 void Catalog::on_data(transport::Buffer& in) {
     auto keep = connection_;
     while (connection_ == keep && !in.empty()) {
-        Response response;
         std::size_t length = 0;
-        Next next = parser_.response(in.view(), false, response, length);
-        if (next == Next::more) return;
-        if (next != Next::message || !called_) return lost("malformed answer");
-        if (response.status >= 200) {
-            called_ = false;
-            timer_.cancel();
-            ++timers_;
-            take(response);
-        }
+        if (!read(in.view(), false, length)) return;
         if (connection_ == keep) in.consume(length);
     }
 }
 
+// False: more is to come, or the call is lost.
+bool Catalog::read(std::string_view in, bool at_end, std::size_t& length) {
+    Response response;
+    Next next = parser_.response(in, at_end, response, length);
+    if (next == Next::more) return false;
+    if (next != Next::message || !called_) {
+        lost(ListWatch::Failure::cut, "malformed answer");
+        return false;
+    }
+    if (response.status < 200) return true;
+    called_ = false;
+    timer_.cancel();
+    ++timers_;
+    take(response);
+    return true;
+}
+
+// An answer may have no length and end with its connection. A reset is no end.
 void Catalog::on_closed(const transport::error_code& ec) {
     auto keep = connection_;
-    lost(ec.message().c_str());
+    std::string_view in = keep->unread();
+    std::size_t length = 0;
+    while (ec == boost::asio::error::eof && called_ && !in.empty()) {
+        if (!read(in, true, length)) break;
+        in.remove_prefix(length);
+    }
+    if (connection_ == keep) lost(ListWatch::Failure::cut, ec.message().c_str());
 }
 
 void Catalog::take(const Response& response) {
-    if (response.status != 200) return lost("refused");
+    if (response.status != 200) return lost(ListWatch::Failure::refused, "refused");
     try {
         MemberList list = read_member_list(nlohmann::json::parse(response.body), zones_);
-        bool first = !revision_;
+        bool first = !watch_.revision();
+        // Changes that are older than what is held would undo it: what holds now is in the whole list.
+        if (!first && !list.all && list.revision < *watch_.revision())
+            throw std::runtime_error("changes older than the list held");
         if (list.all || !list.members.empty() || first)
             core_.list(list.all || first ? ListKind::full : ListKind::changes, list.members);
-        revision_ = list.revision;
-        told_ = watching_ = true;
-        backoff_ = {};
+        watch_.answered(list.revision);
+        told_ = true;
         if (heard_ && (list.all || !list.members.empty() || first)) heard_(list.revision);
     } catch (const std::exception& error) {
-        revision_.reset();
-        return lost(error.what());
+        watch_.forget();
+        return lost(ListWatch::Failure::cut, error.what());
     }
-    if (!response.keep_alive) disconnect();
+    if (!response.keep_alive || !connection_->open()) disconnect();
     call();
 }
 
--- a/src/routing/catalog.hpp
+++ b/src/routing/catalog.hpp
@@ -8,6 +8,7 @@
 
 #include "protocol/http.hpp"
 #include "routing/core.hpp"
+#include "routing/list_watch.hpp"
 #include "transport/connection.hpp"
 
 namespace indigovane::routing {
@@ -22,29 +23,7 @@
 
 class Catalog : private transport::Connection::Handler {
   public:
-    struct Timing {
-        // A call is held so long. Short, since a silent connection shows only by the lack of an answer.
-        std::chrono::milliseconds hold{2000};
-        std::chrono::milliseconds slack{1000};  // for the answer after that
-        std::chrono::milliseconds whole{1000};  // for the whole list, or a watch that begins
-        std::chrono::milliseconds retry{40};    // the first, under the 200 ms in which a watch goes on
-        std::chrono::milliseconds again{80};    // the next; doubling, with jitter
-        std::chrono::milliseconds retry_most{160};
-        std::chrono::milliseconds connect{500};
-        bool from_known =
-            false;  // the first call asks for what is newer than the list held, not for all of it
-    };
-    // Where all poolers ask one discovery, which has only so much room.
-    static Timing shared(std::size_t poolers) {
-        Timing t;
-        t.hold = std::chrono::seconds(10);  // each call takes room
-        t.whole = t.slack = std::chrono::seconds(8);
-        t.from_known = true;
-        // Of a fleet that starts at once each asks again at a moment of its own, some 60 ms apart.
-        t.again = std::max(std::chrono::milliseconds(400), std::chrono::milliseconds(60 * poolers));
-        t.retry_most = std::max<std::chrono::milliseconds>(std::chrono::seconds(5), t.again * 2);
-        return t;
-    }
+    using Timing = ListWatch::Timing;
     Catalog(boost::asio::io_context& io, const transport::Endpoint& at, std::vector<std::string> zones,
             Core& core, Logger& logger, Timing timing, std::uint64_t seed = 0);
     ~Catalog();
@@ -63,8 +42,9 @@
     void call();
     void disconnect();
     void set_timer(std::chrono::milliseconds after, void (Catalog::*then)());
-    void no_answer() { lost("no answer"); }
-    void lost(const char* why);
+    void no_answer() { lost(ListWatch::Failure::silent, "no answer"); }
+    void lost(ListWatch::Failure how, const char* why);
+    bool read(std::string_view in, bool at_end, std::size_t& length);
     void take(const protocol::http::Response& response);
     void on_connected() override;
     void on_data(transport::Buffer& in) override;
@@ -75,15 +55,12 @@
     std::vector<std::string> zones_;
     Core& core_;
     Logger& logger_;
-    Timing timing_;
+    ListWatch watch_;
     std::shared_ptr<transport::Connection> connection_;
     protocol::http::Parser parser_;
     boost::asio::steady_timer timer_;
     std::uint64_t timers_ = 0;  // set so far: a timer that has rung may be out of date when it is heard
-    std::chrono::milliseconds backoff_{};  // none: the next retry is the first
     std::minstd_rand random_;
-    bool watching_ = false;                 // the last call was answered: the next goes on from it
-    std::optional<std::int64_t> revision_;  // none: the whole list comes next
     std::function<void(std::int64_t)> heard_;
     bool following_ = false, called_ = false, told_ = false;
 };
--- a/src/routing/core.cpp
+++ b/src/routing/core.cpp
@@ -49,6 +49,7 @@
 RequestId Core::accept(Item item, Responder& responder) {
     RequestId id{next_request_++};
     Time now = clock_.now();
+    item.patience = std::min(item.patience, std::max(Duration::zero(), finish_by_ - now));
     Request q;
     q.id = id;
     q.cls = item.cls;
@@ -66,6 +67,8 @@
     held_bytes_ += entry.bytes;
     open_ids_.insert(item.id);
     if (write_ && item.session && item.writes()) write_(*item.session, true);
+    auto cls = std::size_t(item.cls);
+    entry.safe = cls < settings_.classes.size() && settings_.classes[cls].effect == Effect::safe;
     entry.item = std::move(item);
     entry.responder = &responder;
     wake();
@@ -90,6 +93,7 @@
     limits_.connect_timeout = limits_.probe_timeout = connect_timeout;
     limits_.idle_limit = idle_limit;
     for (auto& [id, m] : members_) m.pool->set_connect_timeout(connect_timeout);
+    for (auto& [id, entry] : entries_) entry.item.cls = renumbered(entry.item.cls, continues);
     settings_ = settings;
     inbox_.push_back(Retune{settings, std::move(continues)});
     wake();
@@ -251,9 +255,7 @@
 void Core::rescue(const std::set<MemberId>& silent) {
     std::vector<std::pair<MemberId, Job>> out;
     for (auto& [id, entry] : entries_) {
-        if (!entry.responder || entry.begun || entry.item.writes()) continue;
-        auto cls = std::size_t(entry.item.cls);
-        if (cls >= settings_.classes.size() || settings_.classes[cls].effect != Effect::safe) continue;
+        if (!entry.responder || entry.begun || entry.item.writes() || !entry.safe) continue;
         for (const Attempt& a : entry.attempts)
             if (a.out && silent.count(a.member)) out.push_back({a.member, a.job});
     }
@@ -370,10 +372,12 @@
         !result.position_unix_us)
         result.position_unix_us = clock_.to_unix(now);
     // Before the client knows of it, so that no read of its session can come to the other process sooner.
-    if (result.status == Status::ok && entry.item.writes() && entry.item.session && result.position_unix_us &&
-        commit_)
-        commit_(*entry.item.session, clock_.from_unix(*result.position_unix_us));
-    if (sites_ && result.status == Status::ok) sites_->took(entry.item, now - job.sent);
+    if (result.status == Status::ok && entry.item.writes() && entry.item.session && result.position_unix_us) {
+        overtake(*entry.item.session, *result.position_unix_us / 1000);
+        if (commit_) commit_(*entry.item.session, clock_.from_unix(*result.position_unix_us));
+    }
+    if (sites_ && result.status == Status::ok && entry.item.cls != kNoClass)
+        sites_->took(entry.item, now - job.sent);
     if (result.status == Status::ok && entry.responder) {
         // The first answer goes to the client by itself and ends the request.
         Responder* responder = std::exchange(entry.responder, nullptr);
@@ -441,11 +445,22 @@
            *result.position_unix_us / 1000 + rounding + (item.session ? 0 : longer) < *job.needs;
 }
 
-const Item* Core::may_start(const Pool& pool, const Job& job) {
+// Guards a session's read that waits for a connection while a write of its session is answered: what it was
+// to see when it was decided on is no longer enough when it is sent.
+void Core::overtake(std::uint64_t session, std::int64_t commit_unix_ms) {
+    if (settings_.tokens != TokenSource::remembered) return;
+    for (auto& [id, entry] : entries_)
+        if (entry.responder && entry.item.session == session && !entry.item.writes())
+            entry.overtaken = std::max(entry.overtaken.value_or(0), commit_unix_ms);
+}
+
+const Item* Core::may_start(const Pool& pool, Job& job) {
     auto it = entries_.find(job.id);
     if (it == entries_.end() || !it->second.responder) return nullptr;
     const Member* m = member(pool.member());
-    if (!m || m->refused_new || clock_.now() >= job.until) return nullptr;
+    Time now = clock_.now();
+    if (!m || m->refused_new || now >= job.until || now > job.start) return nullptr;
+    if (auto commit = it->second.overtaken) job.needs = std::max(job.needs.value_or(0), *commit);
     return &it->second.item;
 }
 
@@ -572,8 +587,8 @@
         return;
     }
     set_alarm({job.until, 0, Alarm::Kind::job, {}, send.member, job});
-    if (send.start && *send.start > Duration::zero() && job.sent + *send.start < job.until)
-        set_alarm({job.sent + *send.start, 0, Alarm::Kind::start, {}, send.member, job});
+    if (send.start && *send.start > Duration::zero()) job.start = job.sent + *send.start;
+    if (job.start < job.until) set_alarm({job.start, 0, Alarm::Kind::start, {}, send.member, job});
     if (sites_) sites_->sent(m->pool->member(), job.sent);
     m->pool->submit(job);
 }
@@ -609,6 +624,22 @@
     forget_if_done(id);
 }
 
+// What may have run and may not simply run again has failed; all else can be asked anew elsewhere.
+void Core::finish_all() {
+    std::vector<RequestId> open;
+    for (auto& [id, entry] : entries_)
+        if (entry.responder && !entry.begun) open.push_back(id);
+    for (RequestId id : open) {
+        const Entry& entry = entries_.at(id);
+        bool ran = std::any_of(entry.attempts.begin(), entry.attempts.end(),
+                               [](const Attempt& a) { return a.out || a.may_have_run; });
+        auto kind = ran && !entry.safe ? Ending::Kind::failed : Ending::Kind::refused;
+        inbox_.push_back(Withdrawn{id});
+        finish(id, {kind, true, std::nullopt});
+    }
+    wake();
+}
+
 void Core::forget_if_done(RequestId id) {
     auto it = entries_.find(id);
     if (it == entries_.end() || it->second.responder || it->second.out() || it->second.over) return;
--- a/src/routing/core.hpp
+++ b/src/routing/core.hpp
@@ -96,6 +96,10 @@
     void run_batch();
     void rang() { armed_.reset(); }  // the alarm has gone off: run_batch() follows
 
+    // Whatever is in hand or comes yet has its answer by then: the program ends.
+    void finish_by(Time at) { finish_by_ = at; }
+    void finish_all();
+
     bool idle() const { return entries_.empty(); }
     std::size_t requests() const { return entries_.size(); }
     std::size_t links() const { return links_; }
@@ -115,7 +119,9 @@
         std::size_t bytes = 0;
         std::vector<Attempt> attempts;
         bool over = false;
-        bool begun = false;  // part of a long value is with the client
+        bool begun = false;                     // part of a long value is with the client
+        bool safe = false;                      // by the settings that it came with
+        std::optional<std::int64_t> overtaken;  // its session's commit while it waited, a Unix time in ms
         bool out() const;
     };
     struct Member {
@@ -142,7 +148,7 @@
     void on_job_end(Pool& pool, const Job& job, Result result) override;
     void on_job_begun(Pool& pool, const Job& job, const Answer& head, std::size_t length) override;
     bool on_job_piece(const Job& job, std::string_view bytes) override;
-    const Item* may_start(const Pool& pool, const Job& job) override;
+    const Item* may_start(const Pool& pool, Job& job) override;
     bool may_open() override;
     void on_link_gone() override;
 
@@ -156,6 +162,7 @@
     void tell_sites();
     void look_at_sites(Time now);
     void rescue(const std::set<MemberId>& silent);
+    void overtake(std::uint64_t session, std::int64_t commit_unix_ms);
     bool give_up(Pool& pool, const Job& job, starlingpond::Status out, starlingpond::Status waiting);
     void turn_away(RequestId id);
     bool close_oldest_idle();
@@ -207,7 +214,7 @@
     std::priority_queue<Alarm, std::vector<Alarm>, std::greater<>> alarms_;
     std::uint64_t next_request_ = 1, next_alarm_ = 0;
     std::optional<Time> armed_;
-    Time swept_{}, told_{};
+    Time swept_{}, told_{}, finish_by_ = Time::max();
     Ledger ledger_;
     std::size_t links_ = 0, held_bytes_ = 0;
     bool woken_ = false, starved_ = false, serve_due_ = false;
--- a/src/routing/interfaces.hpp
+++ b/src/routing/interfaces.hpp
@@ -68,6 +68,7 @@
     virtual void refuse_checks() = 0;   // says no where it is asked whether to send clients here
     virtual void welcome() = 0;         // undoes the last two
     virtual std::size_t connections() const = 0;
+    virtual std::size_t lingering() const { return 0; }  // half-closed, their clients' end yet to come
     // For the process that takes over: it listens by the same socket, so that closing it here resets nothing.
     virtual int listening_socket() = 0;
     // Gives away the connections on which nothing is owed; says how many.
--- a/src/routing/pool.hpp
+++ b/src/routing/pool.hpp
@@ -17,6 +17,7 @@
     RequestId id{};
     std::uint32_t number = 0;  // of the attempt; of the probe
     Time sent{}, until{};
+    Time start = Time::max();  // it is not to begin later
     std::optional<std::int64_t> needs;
 
     bool same(const Job& o) const { return probe == o.probe && id == o.id && number == o.number; }
@@ -30,8 +31,9 @@
         virtual void on_job_begun(Pool& pool, const Job& job, const Answer& head, std::size_t length) = 0;
         virtual bool on_job_piece(const Job& job, std::string_view bytes) = 0;
         // Looked at again right before the first byte: a job that waited for a connection may have been
-        // cancelled by then, its time may be up, or the member may drain. Nothing: it may not start.
-        virtual const Item* may_start(const Pool& pool, const Job& job) = 0;
+        // cancelled by then, its time may be up, or the member may drain. Nothing: it may not start. What its
+        // answer must have seen may have grown.
+        virtual const Item* may_start(const Pool& pool, Job& job) = 0;
         virtual bool may_open() = 0;  // counts a link that is to be opened
         virtual void on_link_gone() = 0;
 
--- a/src/routing/types.hpp
+++ b/src/routing/types.hpp
@@ -22,6 +22,14 @@
 using starlingpond::RequestId;
 using starlingpond::Time;
 
+// The number of a class once the settings have changed: `continues` says of each class which one it was.
+constexpr ClassId kNoClass{std::uint32_t(-1)};  // it is gone
+inline ClassId renumbered(ClassId before, const std::vector<std::optional<ClassId>>& continues) {
+    for (std::size_t i = 0; i < continues.size(); ++i)
+        if (continues[i] == before) return ClassId(std::uint32_t(i));
+    return kNoClass;
+}
+
 // The module's time is the steady clock's. Positions come as Unix times; one offset, taken when the program
 // starts, converts them, so that a step of the wall clock moves no position against another.
 class Clock {
--- a/src/transport/buffer.hpp
+++ b/src/transport/buffer.hpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <cstdint>
 #include <cstring>
 #include <string_view>
 #include <vector>
@@ -16,6 +17,7 @@
     std::string_view view() const { return {bytes_.data() + begin_, end_ - begin_}; }
     std::size_t size() const { return end_ - begin_; }
     bool empty() const { return begin_ == end_; }
+    std::uint64_t consumed() const { return consumed_; }  // bytes, since the beginning
     std::size_t capacity() const { return bytes_.size(); }
 
     // Room for at least `room` more bytes; returned with its true length.
@@ -38,7 +40,9 @@
     }
     void commit(std::size_t count) { end_ += count; }
     void consume(std::size_t count) {
-        begin_ += std::min(count, size());
+        count = std::min(count, size());
+        begin_ += count;
+        consumed_ += count;
         if (begin_ != end_) return;
         begin_ = end_ = 0;
         if (bytes_.size() > kKept) {
@@ -59,6 +63,7 @@
 
     std::vector<char> bytes_;
     std::size_t begin_ = 0, end_ = 0;
+    std::uint64_t consumed_ = 0;
 };
 
 }  // namespace indigovane::transport
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -1,5 +1,6 @@
 #include "transport/connection.hpp"
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -12,8 +13,11 @@
 namespace indigovane::transport {
 
 namespace {
-constexpr std::size_t kLingerBytes = 1 << 18;  // thrown away at most
-constexpr auto kLingerTime = std::chrono::milliseconds(1000);
+constexpr std::size_t kLingerBytes = 1 << 18;                  // thrown away at most
+constexpr auto kLingerTime = std::chrono::milliseconds(1000);  // to write what is left; to discard
+constexpr auto kAwaitEnd = std::chrono::milliseconds(300);     // for the other side's end, after our own
+constexpr auto kHangupEvery =
+    std::chrono::milliseconds(40);  // a client that has gone is to be seen in 100 ms
 }  // namespace
 
 struct Connection::Reader : asio::coroutine {
@@ -41,6 +45,7 @@
             while (c.state_ == State::open && !c.close_when_written_) {
                 if (c.in_.size() >= c.limit_) {  // backpressure: resume() starts another reader
                     c.reading_ = false;
+                    c.await_hangup();
                     return;
                 }
                 c.reading_ = true;
@@ -92,17 +97,17 @@
                 if (c.writing_.capacity() > 16384) c.writing_.shrink_to_fit();
             }
             c.writer_busy_ = false;
-            if (c.close_when_written_) return c.finish_writing();
+            if (c.close_when_written_) return c.half_close();
             if (c.handler_) c.handler_->on_written();
         }
     }
 };
 
-struct Connection::Linger : asio::coroutine {
+struct Connection::Discard : asio::coroutine {
     std::shared_ptr<Connection> self;
     std::size_t left = kLingerBytes;
 
-    explicit Linger(std::shared_ptr<Connection> c) : self(std::move(c)) {}
+    explicit Discard(std::shared_ptr<Connection> c) : self(std::move(c)) {}
 
     void operator()(error_code ec = {}) {
         Connection& c = *self;
@@ -110,7 +115,7 @@
         char scratch[8192];
         reenter(this) {
             while (!ec && left > 0) {
-                yield c.socket_.async_wait(asio::ip::tcp::socket::wait_read, Linger(*this));
+                yield c.socket_.async_wait(asio::ip::tcp::socket::wait_read, Discard(*this));
                 if (!ec) left -= std::min(left, c.socket_.read_some(asio::buffer(scratch), ec));
                 if (ec == asio::error::would_block) ec = {};
             }
@@ -119,6 +124,24 @@
     }
 };
 
+// Until the other side has closed as well, with nothing read. What has crossed hides its end: the timer,
+// then.
+struct Connection::AwaitEnd : asio::coroutine {
+    std::shared_ptr<Connection> self;
+
+    explicit AwaitEnd(std::shared_ptr<Connection> c) : self(std::move(c)) {}
+
+    void operator()(error_code ec = {}) {
+        Connection& c = *self;
+        if (c.state_ == State::closed) return;
+        char byte;
+        reenter(this) {
+            yield c.socket_.async_wait(asio::ip::tcp::socket::wait_read, AwaitEnd(*this));
+            if (ec || ::recv(c.socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) <= 0) c.close();
+        }
+    }
+};
+
 Connection::Connection(asio::io_context& io)
     : io_(io), strand_(asio::make_strand(io)), socket_(strand_), timer_(strand_) {}
 
@@ -197,36 +220,60 @@
     asio::post(strand_, Reader(shared_from_this(), false));
 }
 
-void Connection::close_after_writing(std::shared_ptr<void> token) {
+void Connection::close_after_writing(Crossing crossing) {
     if (state_ == State::closed || close_when_written_) return;
     handler_ = nullptr;
     close_when_written_ = true;
-    token_ = std::move(token);
-    if (all_written() && !writer_busy_) return finish_writing();
+    crossing_ = crossing;
+    if (all_written() && !writer_busy_) return half_close();
     timer_.expires_after(kLingerTime);  // guards against a client that never reads
     timer_.async_wait([self = shared_from_this()](const error_code& ec) {
         if (!ec) self->close();
     });
 }
 
-void Connection::finish_writing() {
-    if (!token_) return close();
+void Connection::half_close() {
     error_code ec;
     socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
-    in_.consume(in_.size());
-    timer_.expires_after(kLingerTime);
+    if (ec) return close();
+    bool discards = crossing_ == Crossing::discard;
+    if (discards) in_.consume(in_.size());
+    timer_.expires_after(discards ? kLingerTime : kAwaitEnd);
     timer_.async_wait([self = shared_from_this()](const error_code& e) {
         if (!e) self->close();
     });
-    Linger linger(shared_from_this());
-    linger();
+    if (discards) {
+        Discard discard(shared_from_this());
+        discard();
+    } else {
+        AwaitEnd end(shared_from_this());
+        end();
+    }
+}
+
+// An end of the stream stands behind what is unread: the kernel tells of it all the same.
+bool Connection::hung_up() {
+    pollfd p{socket_.native_handle(), POLLRDHUP, 0};
+    return ::poll(&p, 1, 0) > 0 && (p.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
+void Connection::await_hangup() {
+    if (!watches_hangup_ || std::exchange(awaits_hangup_, true)) return;
+    timer_.expires_after(kHangupEvery);
+    timer_.async_wait([weak = weak_from_this()](const error_code& ec) {
+        auto self = weak.lock();
+        if (!self || ec) return;
+        self->awaits_hangup_ = false;
+        if (self->state_ != State::open || self->reading_ || self->close_when_written_) return;
+        if (self->hung_up()) return self->fail(asio::error::eof);
+        self->await_hangup();
+    });
 }
 
 void Connection::close() {
     if (state_ == State::closed) return;
     state_ = State::closed;
     handler_ = nullptr;
-    token_.reset();
     error_code ec;
     timer_.cancel(ec);
     socket_.close(ec);
--- a/src/transport/connection.hpp
+++ b/src/transport/connection.hpp
@@ -59,11 +59,17 @@
     void limit_unread(std::size_t bytes) { limit_ = bytes; }
     void resume();  // something was consumed: reading may go on
 
-    // What is queued still goes out, within a second. With a token the connection lingers then: the other
-    // side is told of the end and what it sends meanwhile is thrown away, up to a bound, so that unread bytes
-    // don't reset the connection before its last words were read. The token is held until it is closed.
-    void close_after_writing(std::shared_ptr<void> token = nullptr);
+    // What is queued still goes out, within a second. Then the connection is half-closed: the other side is
+    // told of the end, and has a while to close as well, so that what it sends meanwhile doesn't reset the
+    // connection before its last words were read.
+    enum class Crossing {
+        unread,   // what crosses the close is left unread: nobody has taken it, and its sender sends it again
+        discard,  // thrown away, up to a bound: from one that may be in the middle of something far too long
+    };
+    void close_after_writing(Crossing crossing);
     void close();  // at once; the handler hears nothing more
+    // While the connection reads no further, it looks now and then whether the other side has closed it.
+    void watch_for_hangup() { watches_hangup_ = true; }
     void detach() { handler_ = nullptr; }
     const Strand& executor() const { return strand_; }
     bool open() const { return state_ == State::open; }
@@ -77,9 +83,12 @@
     enum class State { idle, connecting, open, closed };
     struct Reader;
     struct Writer;
-    struct Linger;
+    struct Discard;
+    struct AwaitEnd;
 
-    void finish_writing();
+    void half_close();
+    bool hung_up();
+    void await_hangup();
     void fail(const error_code& ec);
 
     asio::io_context& io_;
@@ -94,8 +103,9 @@
     std::size_t written_ = 0;    // of the latter
     std::size_t limit_ = 1 << 20, room_ = 2048;
     std::uint64_t sent_ = 0;
-    std::shared_ptr<void> token_;
+    Crossing crossing_ = Crossing::unread;
     bool reading_ = false, writer_busy_ = false, close_when_written_ = false, established_ = false;
+    bool watches_hangup_ = false, awaits_hangup_ = false;
 };
 
 }  // namespace indigovane::transport
--- a/tests/support/harness.hpp
+++ b/tests/support/harness.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <doctest/doctest.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include <boost/asio/io_context.hpp>
@@ -206,6 +207,15 @@
     }
     std::string address() const { return text(listener_.local()); }
     std::size_t connections() const { return peers_.size(); }
+    void reset_all() {
+        for (auto& p : peers_) {
+            linger none{1, 0};
+            int fd = p->connection->release();
+            ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &none, sizeof none);
+            ::close(fd);
+        }
+        peers_.clear();
+    }
     void drop_all() {
         for (auto& p : peers_) p->connection->close();
         peers_.clear();
