Log each attempt, retry and ending by request id; class settings; the log never blocks

Missing in the incident: which request an attempt belonged to, what ended it, why the request went on or was refused, and what effect its class had in force. New message ids: attempt, retry, ended, withdrawn, class (routing/request_log.hpp, program/settings_log.hpp); the ledger counts withdrawn requests. Lines over the limit of a kind are not worded at all (Logger::wants).

More lines make it worse that standard output was written by blocking calls on the loop's thread: LogOutput asks whether there is room, loses the line if not, and tells how many were lost. The limit of lines a second counts by the steady clock now.

--- a/src/program/lifecycle.cpp
+++ b/src/program/lifecycle.cpp
@@ -7,6 +7,7 @@
 #include "adapters/pg_front.hpp"
 #include "adapters/rest_backend.hpp"
 #include "adapters/rest_front.hpp"
+#include "program/settings_log.hpp"
 #include "program/site_text.hpp"
 
 namespace indigovane::program {
@@ -123,6 +124,7 @@
     else
         backend_ = std::make_unique<adapters::PgBackend>(io_);
     core_ = std::make_unique<LoopCore>(io_, clock_, config_.settings, config_.seed, limits_, *backend_, log_);
+    log_classes(config_, log_);
     if (config_.sites) core_->watch_sites(config_.sites->settings, site_classes(config_), config_.seed);
     if (config_.statements) {
         statements_ = std::make_unique<adapters::Statements>(
@@ -264,6 +266,7 @@
                  {{"discovery",
                    fresh.discovery.address().to_string() + ":" + std::to_string(fresh.discovery.port())},
                   {"classes", std::to_string(fresh.classes.all().size())}});
+        log_classes(config_, log_);
         if (fresh.fixed != config_.fixed)
             log_.log(Level::warning, "reload",
                      "other changes than those of discovery and settings take effect at the next start", {});
--- a/src/program/log.cpp
+++ b/src/program/log.cpp
@@ -17,25 +17,38 @@
                std::chrono::system_clock::now().time_since_epoch())
         .count();
 }
+std::int64_t steady_seconds() {
+    return std::chrono::duration_cast<std::chrono::seconds>(
+               std::chrono::steady_clock::now().time_since_epoch())
+        .count();
+}
 }  // namespace
 
 Log::Log(std::string name, std::string process, Sink sink)
     : name_(std::move(name)), process_(std::move(process)), sink_(std::move(sink)) {}
 
-void Log::log(Level level, const char* id, const std::string& text, const Data& data) {
+// The lines of this second; when a new one begins, what was left out of the one before is told.
+Log::Quota& Log::quota(const char* id) {
     Quota& quota = quotas_[id];
-    std::int64_t second = unix_micros() / 1000000;
-    if (second != quota.second) {
-        if (quota.dropped > 0)
-            write(syslog::Severity::notice, "suppressed", std::string("lines were left out"),
-                  {{"of", id}, {"count", std::to_string(quota.dropped)}});
-        quota = {second, 0, 0};
-    }
-    if (quota.written >= kLinesPerSecond) {
-        ++quota.dropped;
-        return;
-    }
-    ++quota.written;
+    std::int64_t second = steady_seconds();
+    if (second == quota.second) return quota;
+    if (quota.dropped > 0)
+        write(syslog::Severity::notice, "suppressed", "lines were left out",
+              {{"of", id}, {"count", std::to_string(quota.dropped)}});
+    quota = {second, 0, 0};
+    return quota;
+}
+
+bool Log::wants(const char* id) {
+    Quota& lines = quota(id);
+    if (lines.written < kLinesPerSecond) return true;
+    ++lines.dropped;
+    return false;
+}
+
+void Log::log(Level level, const char* id, const std::string& text, const Data& data) {
+    if (!wants(id)) return;
+    ++quotas_[id].written;
     auto severity = level == Level::error     ? syslog::Severity::error
                     : level == Level::warning ? syslog::Severity::warning
                     : level == Level::notice  ? syslog::Severity::notice
@@ -43,6 +56,20 @@
     write(severity, id, text, data);
 }
 
+// Once the sink takes lines again, it is told how many it has missed.
+void Log::tell_lost() {
+    if (lost_ == 0 || telling_lost_) return;
+    telling_lost_ = true;
+    std::uint64_t before = lost_;
+    write(syslog::Severity::warning, "lost", "the log's reader did not take lines",
+          {{"count", std::to_string(before)}});
+    if (lost_ == before)
+        lost_ = 0;  // this line went through
+    else
+        lost_ = before;
+    telling_lost_ = false;
+}
+
 void Log::write(syslog::Severity severity, const char* id, const std::string& text, const Data& data) {
     syslog::Message m;
     m.severity = severity;
@@ -54,8 +81,9 @@
     m.text = text;
     if (!data.empty()) m.data.push_back({kElement, data});
     std::string line = syslog::write(m);
-    if (sink_) sink_(line);
+    if (sink_ && !sink_(line)) ++lost_;
     if (more_) more_(line);
+    tell_lost();
 }
 
 }  // namespace indigovane::program
--- /dev/null
+++ b/src/program/log_output.hpp
@@ -0,0 +1,27 @@
+// Where log lines go: a descriptor that may be a file, a pipe or a terminal. Writing never waits: a reader
+// that stalls may not hold up the process, so a line that there is no room for is lost, and the caller is
+// told so.
+#pragma once
+
+#include <string_view>
+
+namespace indigovane::program {
+
+class LogOutput {
+  public:
+    // Does not own the descriptor and changes none of its flags: other processes may share it.
+    explicit LogOutput(int descriptor) : descriptor_(descriptor) {}
+
+    // Writes the line and a line feed. Lines over kLongest bytes are cut there. False: it was not written.
+    bool write_line(std::string_view line);
+
+    // A pipe that is ready for writing takes so many bytes without blocking (POSIX: PIPE_BUF).
+    static constexpr std::size_t kLongest = 4096;
+
+  private:
+    bool has_room() const;
+
+    int descriptor_;
+};
+
+}  // namespace indigovane::program
--- a/src/program/main.cpp
+++ b/src/program/main.cpp
@@ -7,6 +7,7 @@
 #include <iostream>
 
 #include "program/lifecycle.hpp"
+#include "program/log_output.hpp"
 #include "program/shapes_command.hpp"
 #include "program/site_command.hpp"
 #include "program/store_command.hpp"
@@ -77,10 +78,9 @@
     pthread_sigmask(SIG_BLOCK, &reload, nullptr);
     program::Config config = configure(arguments);
     std::signal(SIGPIPE, SIG_IGN);
-    program::Log log(config.name, std::to_string(::getpid()), [](const std::string& line) {
-        std::fputs((line + "\n").c_str(), stdout);
-        std::fflush(stdout);
-    });
+    program::LogOutput output(STDOUT_FILENO);
+    program::Log log(config.name, std::to_string(::getpid()),
+                     [&](const std::string& line) { return output.write_line(line); });
     program::Lifecycle lifecycle(
         config, [&] { return configure(arguments); }, log);
     pthread_sigmask(SIG_UNBLOCK, &reload, nullptr);
--- a/src/routing/core.cpp
+++ b/src/routing/core.cpp
@@ -31,6 +31,9 @@
 bool Core::Entry::out() const {
     return std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.out; });
 }
+bool Core::Entry::may_have_run() const {
+    return std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.may_have_run; });
+}
 
 Core::Core(Driver& driver, const Clock& clock, const Settings& settings, std::uint64_t seed,
            CoreLimits limits, Backend& backend, Logger& logger)
@@ -40,7 +43,8 @@
       backend_(backend),
       logger_(logger),
       brain_(settings, seed, clock.now()),
-      settings_(settings) {}
+      settings_(settings),
+      request_log_(logger) {}
 
 Core::~Core() = default;
 
@@ -83,6 +87,8 @@
     auto it = entries_.find(id);
     if (it == entries_.end() || !it->second.responder) return;
     it->second.responder = nullptr;
+    ++ledger_.withdrawn;
+    if (!it->second.attempts.empty()) request_log_.withdrawn(describe(it->second));
     inbox_.push_back(Withdrawn{id});
     wake();
     forget_if_done(id);
@@ -280,7 +286,8 @@
     if (settings_.retry_after.value_or(false))
         retry_after =
             std::min(sites_->retry_after(), settings_.longest_retry_after.value_or(sites_->retry_after()));
-    finish(id, {Ending::Kind::refused, false, retry_after});
+    finish(id, {Ending::Kind::refused, false, retry_after},
+           "its site is given up, or its retry budget spent");
 }
 
 void Core::leave(Member& m) {
@@ -352,8 +359,9 @@
     auto it = entries_.find(job.id);
     if (it == entries_.end()) return;
     Entry& entry = it->second;
-    entry.attempts.at(job.number).out = false;
-    entry.attempts.at(job.number).may_have_run = may_have_run(result.status);
+    Attempt& attempt = entry.attempts.at(job.number);
+    attempt.out = false;
+    attempt.may_have_run = may_have_run(result.status);
     ++ledger_.ended[std::size_t(result.status)];
     if (entry.begun) {
         // What stands behind a long value is as old as its beginning: it tells nothing of the present, but
@@ -367,6 +375,10 @@
                      {"took_ms", std::to_string((now - job.sent).count() / 1000)}});
         result.status = Status::miss;
     }
+    attempt.status = result.status;
+    if (result.status != Status::ok)
+        request_log_.attempt_ended(describe(entry), job.number, m ? m->info.uid : "", result.status,
+                                   now - job.sent);
     // An open statement's host may tell no commit. It lies before now, and its session must see it.
     if (result.status == Status::ok && entry.item.verb == Item::Verb::other && entry.item.commits &&
         !result.position_unix_us)
@@ -570,13 +582,16 @@
     job.until = send.timeout ? std::min(entry.deadline, job.sent + *send.timeout) : entry.deadline;
     if (send.needs) job.needs = clock_.to_unix(*send.needs) / 1000;
     bool second = entry.out();
-    bool again = std::any_of(entry.attempts.begin(), entry.attempts.end(),
-                             [](const Attempt& a) { return a.may_have_run; });
+    bool again = entry.may_have_run();
+    if (!entry.attempts.empty() && entry.responder)
+        request_log_.retried(describe(entry), m ? m->info.uid : "", entry.attempts.back().status);
     // A read that comes again without a budget left ends here: the module hears that it is over.
     bool spent = sites_ && again && entry.responder && !entry.item.writes() && !sites_->may_repeat();
     if (spent) turn_away(send.id);
     ++ledger_.sent;
-    entry.attempts.push_back({job, send.member, true});
+    Attempt& attempt = entry.attempts.emplace_back();
+    attempt.job = job;
+    attempt.member = send.member;
     if (m) ++m->attempts;
     if (second || !entry.responder || !m) {
         // Guards the rule that no two attempts of a request are out at once, whatever the module says.
@@ -604,13 +619,21 @@
 }
 
 void Core::act(const Refuse& refuse) {
-    finish(refuse.id, {Ending::Kind::refused, refuse.deadline, refuse.retry_after});
+    finish(refuse.id, {Ending::Kind::refused, refuse.deadline, refuse.retry_after},
+           refuse.deadline ? "its time is up" : "no host could take it in time");
 }
 void Core::act(const Fail& fail) {
-    finish(fail.id, {Ending::Kind::failed, fail.deadline, std::nullopt});
+    finish(fail.id, {Ending::Kind::failed, fail.deadline, std::nullopt},
+           fail.deadline ? "its time is up" : "it may have run, and its class allows no further attempt");
+}
+
+RequestLog::Request Core::describe(const Entry& entry) const {
+    Time now = clock_.now();
+    return {entry.item, entry.attempts.size(), now - entry.arrived, entry.deadline - now,
+            entry.may_have_run()};
 }
 
-void Core::finish(RequestId id, const Ending& ending) {
+void Core::finish(RequestId id, const Ending& ending, const char* why) {
     auto it = entries_.find(id);
     if (it == entries_.end() || !it->second.responder || it->second.begun) return;
     if (ending.kind == Ending::Kind::refused) {
@@ -619,6 +642,7 @@
     } else {
         ++ledger_.failed;
     }
+    request_log_.ended(describe(it->second), ending, why);
     Responder* responder = std::exchange(it->second.responder, nullptr);
     responder->ended(ending);
     forget_if_done(id);
@@ -635,7 +659,7 @@
                                [](const Attempt& a) { return a.out || a.may_have_run; });
         auto kind = ran && !entry.safe ? Ending::Kind::failed : Ending::Kind::refused;
         inbox_.push_back(Withdrawn{id});
-        finish(id, {kind, true, std::nullopt});
+        finish(id, {kind, true, std::nullopt}, "the process ends");
     }
     wake();
 }
--- a/src/routing/core.hpp
+++ b/src/routing/core.hpp
@@ -14,6 +14,7 @@
 #include "routing/interfaces.hpp"
 #include "routing/ledger.hpp"
 #include "routing/pool.hpp"
+#include "routing/request_log.hpp"
 #include "routing/site_shell.hpp"
 
 namespace indigovane::routing {
@@ -111,6 +112,7 @@
         MemberId member{};
         bool out = true;
         bool may_have_run = false;
+        std::optional<starlingpond::Status> status;  // none: it is out
     };
     struct Entry {
         Item item;
@@ -123,6 +125,7 @@
         bool safe = false;                      // by the settings that it came with
         std::optional<std::int64_t> overtaken;  // its session's commit while it waited, a Unix time in ms
         bool out() const;
+        bool may_have_run() const;
     };
     struct Member {
         std::unique_ptr<Pool> pool;
@@ -178,7 +181,8 @@
     void act(const starlingpond::FollowList&);
     void act(const starlingpond::Log& line);
 
-    void finish(RequestId id, const Ending& ending);
+    RequestLog::Request describe(const Entry& entry) const;
+    void finish(RequestId id, const Ending& ending, const char* why);
     void forget_if_done(RequestId id);
     void set_alarm(Alarm alarm);
     void collect_due(Time now);
@@ -216,6 +220,7 @@
     std::optional<Time> armed_;
     Time swept_{}, told_{}, finish_by_ = Time::max();
     Ledger ledger_;
+    RequestLog request_log_;
     std::size_t links_ = 0, held_bytes_ = 0;
     bool woken_ = false, starved_ = false, serve_due_ = false;
 };
--- a/src/routing/interfaces.hpp
+++ b/src/routing/interfaces.hpp
@@ -99,6 +99,9 @@
   public:
     using Data = std::vector<std::pair<std::string, std::string>>;
     virtual void log(Level level, const char* id, const std::string& text, const Data& data = {}) = 0;
+    // Whether a line of that kind would be written now. Saves wording one that would be left out; a line that
+    // is not wanted is counted as left out.
+    virtual bool wants(const char*) { return true; }
 
   protected:
     ~Logger() = default;
--- a/src/routing/ledger.cpp
+++ b/src/routing/ledger.cpp
@@ -1,11 +1,10 @@
 #include "routing/ledger.hpp"
 
+#include "routing/request_log.hpp"
+
 namespace indigovane::routing {
 
 Logger::Data Ledger::data() const {
-    // In the order of starlingpond::Status.
-    static constexpr const char* kEnds[] = {"ok",    "error",     "full", "timeout", "unreachable",
-                                            "reset", "cancelled", "moot", "miss"};
     Logger::Data out;
     auto add = [&](const char* name, std::uint32_t count) {
         if (count > 0) out.emplace_back(name, std::to_string(count));
@@ -13,10 +12,11 @@
     add("first", first);
     add("repeated", repeated);
     add("sent", sent);
-    for (std::size_t i = 0; i < ended.size(); ++i) add(kEnds[i], ended[i]);
+    for (std::size_t i = 0; i < ended.size(); ++i) add(status_name(starlingpond::Status(i)), ended[i]);
     add("refused", refused);
     add("refused_at_once", refused_at_once);
     add("failed", failed);
+    add("withdrawn", withdrawn);
     add("probes", probes);
     add("probes_unanswered", probes_unanswered);
     add("connections", connections);
--- a/src/routing/ledger.hpp
+++ b/src/routing/ledger.hpp
@@ -12,6 +12,7 @@
 struct Ledger {
     std::uint32_t first = 0, repeated = 0;  // requests taken in; repeats are those that clients mark
     std::uint32_t sent = 0, refused = 0, refused_at_once = 0, failed = 0;
+    std::uint32_t withdrawn = 0;  // their clients left before they were answered
     std::uint32_t probes = 0, probes_unanswered = 0, connections = 0, lists = 0;
     std::array<std::uint32_t, 9> ended{};  // attempts, by status
 
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -3,6 +3,7 @@
 #include "adapters/syslog_sink.hpp"
 #include "program/config.hpp"
 #include "program/log.hpp"
+#include "program/log_output.hpp"
 #include "protocol/syslog.hpp"
 #include "routing/catalog.hpp"
 #include "support/discovery.hpp"
@@ -186,7 +187,10 @@
     Collector collector(loop, host);
     adapters::SyslogSink sink(loop.io, *transport::read_endpoint(collector.address()), 1ms);
     std::vector<std::string> out;
-    program::Log log("n1", "7", [&](const std::string& line) { out.push_back(line); });
+    program::Log log("n1", "7", [&](const std::string& line) {
+        out.push_back(line);
+        return true;
+    });
     log.also([&](const std::string& line) { sink.send(line); });
     log.log(routing::Level::error, "first", "a \"quoted\" ]text", {{"key", "v\"]\\"}});
     REQUIRE(loop.until([&] { return collector.lines.size() == 1; }));
@@ -203,6 +207,24 @@
     CHECK(sink.dropped() > 0);
 }
 
+TEST_CASE("a log whose reader stalls holds nothing up, and is told what it has missed") {
+    int pipe[2];
+    REQUIRE(::pipe(pipe) == 0);
+    program::LogOutput output(pipe[1]);
+    program::Log log("n1", "7", [&](const std::string& line) { return output.write_line(line); });
+    const std::string long_text(2000, 'x');
+    for (int kind = 0; kind < 100; ++kind)  // far more than a pipe holds
+        log.log(routing::Level::info, ("kind" + std::to_string(kind)).c_str(), long_text, {});
+    std::string read(1 << 20, '\0');
+    CHECK(::read(pipe[0], read.data(), read.size()) > 4096);
+    log.log(routing::Level::info, "after", "the reader is back", {});
+    read.resize(std::size_t(::read(pipe[0], read.data(), read.size())));
+    CHECK(read.find(" after ") != std::string::npos);
+    CHECK(read.find(" lost [indigovane@32473 count=") != std::string::npos);
+    ::close(pipe[0]);
+    ::close(pipe[1]);
+}
+
 const char* kConfig =
     R"({"name":"n3","listen":"127.0.0.1:5432","discovery":"127.0.0.2:8500","seed":"8c1f30d27a5be964",
  "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":{"rev":1,"all":true,"targets":[{"uid":"a","az":"y"}]},
