Failing reproduction: what ran is run again after an old answer or a row taken back

Real processes over loopback (tests/processes/execution_test.cpp), three poolers, a primary and two replicas, classes that may not run twice.

--- a/tests/support/harness.hpp
+++ b/tests/support/harness.hpp
@@ -167,6 +167,7 @@
     std::int64_t lag_ms = 0;  // behind the present; a primary is not
     int probes = 0;
     int queries = 0, cut = 0;  // asked; given up by the other side before their answer
+    std::string takes_back;    // a SQLSTATE that follows the row in place of the answer's end
     bool open = false;         // takes any statement: answers two columns, or what `says` holds for it
     std::map<std::string, std::string>
         says;  // the start of a statement's body: a SQLSTATE, or "" for no rows
@@ -412,7 +413,10 @@
             if (verb.content) host_.ran.push_back(body);
             if (verb.content) host_.rows[verb.name] = pg::unhex(*verb.content).value_or(*verb.content);
             w.row_description({{"content", 17, true}}).data_row({host_.rows[verb.name]});
-            w.complete(verb.content ? "INSERT 0 1" : "SELECT 1");
+            if (host_.takes_back.empty())
+                w.complete(verb.content ? "INSERT 0 1" : "SELECT 1");
+            else
+                w.error("ERROR", host_.takes_back, "after the row");
         }
         w.parameter("recovery", host_.primary ? "off" : "on").parameter("lsn_ms", position);
         return w.ready().take();
