What ran stays known as run: execution evidence beside the status; stale is no miss

Cause: an attempt's outcome was one word that said both how useful the answer was and whether the statement ran. Two places re-dressed it: Core::end_job turned a whole answer of old data into 'miss', PgLink let a refusal behind a row stand as 'full'; the module took both as proof that nothing ran and sent classes that may not run twice again, and refused them (53300) with a promise of no effect.

Change: Execution {never_ran, may_have_run, ran} is a fact of its own (Outcome::evidence, Result::evidence), which only rises; Status::stale is its own status and proves that the statement ran; the module and the core keep one record of it an attempt. A row description counts as may have run, a row or completion as ran. A session read that may not run twice goes, right after its session's write, only to members known to have it, or to the primary. An answer that comes before its request is written ends its connection.

--- a/include/starlingpond/brain.hpp
+++ b/include/starlingpond/brain.hpp
@@ -13,6 +13,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -125,7 +126,35 @@
         since_last_write;  // carried token: age of the session's last commit, none: no write
     bool repeat = false;   // the client says that it has asked before
 };
-enum class Status { ok, error, full, timeout, unreachable, reset, cancelled, moot, miss };
+// stale: the member answered, but with older data than the read allows; the answer was not passed on.
+enum class Status { ok, error, full, timeout, unreachable, reset, cancelled, moot, miss, stale };
+constexpr std::size_t kStatuses = 10;
+
+// What is known of whether a statement was executed, the weakest evidence first. It is a fact of its own and
+// never follows from how useful the answer was: evidence that a statement ran is not taken back by a later
+// message, a broken connection, a clock or another layer's verdict.
+enum class Execution { never_ran, may_have_run, ran };
+
+// What a status proves by itself.
+constexpr Execution execution_of(Status status) {
+    switch (status) {
+        case Status::full:
+        case Status::unreachable:
+        case Status::moot:
+        case Status::miss:
+            return Execution::never_ran;
+        case Status::ok:
+        case Status::stale:
+            return Execution::ran;
+        case Status::error:
+        case Status::timeout:
+        case Status::reset:
+        case Status::cancelled:
+            break;
+    }
+    return Execution::may_have_run;
+}
+
 struct Outcome {
     RequestId id{};
     std::uint32_t attempt = 0;  // Sends of a request count from 0
@@ -136,6 +165,10 @@
     std::optional<Role> role;
     std::optional<Time> position;  // for a write that went through: its commit
     Report report;
+    // Evidence beyond what the status proves, such as a row that came before a refusal.
+    Execution evidence = Execution::never_ran;
+
+    Execution execution() const { return evidence > execution_of(status) ? evidence : execution_of(status); }
 };
 struct Begun {  // the answer has begun to reach the client: no deadline any more, and no other attempt
     RequestId id{};
--- a/src/adapters/link_base.hpp
+++ b/src/adapters/link_base.hpp
@@ -61,6 +61,8 @@
         connection_->write(std::move(bytes));
     }
     void answer(routing::Result result) {
+        // What is left of a request that was answered early would be taken for a part of the next one.
+        if (!connection_->all_written()) result.reusable = false;
         state_ = State::idle;
         owner_->on_result(*this, std::move(result));
     }
--- a/src/adapters/pg_backend.cpp
+++ b/src/adapters/pg_backend.cpp
@@ -12,6 +12,7 @@
 
 namespace pg = protocol::pg;
 using namespace routing;
+using starlingpond::Execution;
 using starlingpond::Role;
 using starlingpond::Status;
 
@@ -195,6 +196,7 @@
             in.view().substr(5, 2) != std::string_view("\0\1", 2) || !row_may_fit(in.view()))
             return "a long row whose lengths do not fit";
         in.consume(11);
+        note_execution('D');
         ++rows_;
         left_ = length - 10;
         connection_->limit_unread(kUnreadLong);
@@ -231,6 +233,7 @@
         if (state_ != State::asked) return end(broken());
         Result result;
         result.status = Status::error;
+        result.evidence = result_.evidence;
         result.reusable = false;
         result.spoilt = why;
         answer(std::move(result));
@@ -238,9 +241,18 @@
 
     End broken() const override { return turned_away_ ? End::turned_away : LinkBase::broken(); }
 
+    // A description of rows comes once the host has begun to execute, a row or a completion once it has
+    // executed. No later message takes that back, a refusal neither.
+    void note_execution(char type) {
+        if (state_ != State::asked) return;
+        if (type == 'T') result_.evidence = std::max(result_.evidence, Execution::may_have_run);
+        if (type == 'D' || type == 'C') result_.evidence = Execution::ran;
+    }
+
     // Returns what is wrong with the message, if anything is.
     const char* take(const pg::Message& m) {
         std::string_view body = m.body;
+        note_execution(m.type);
         switch (m.type) {
             case 'R':
                 if (body != std::string_view("\0\0\0\0", 4)) return "a password is asked for";
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -43,6 +43,7 @@
 constexpr Duration kMemberWait = milliseconds(50);  // members that wait for the log do so about this long
 constexpr int kSessionAsks = 2;  // replicas asked for a session read before it goes to the primary
 constexpr int kCatchUp = 2;      // a member that is behind applies the log about so much faster than time
+constexpr Duration kCommitUnheard = milliseconds(200);  // a member that checks hears of a commit this late
 constexpr Duration kMissRest = seconds(1);  // longer is waited, since misses keep it from catching up
 constexpr Duration kCopyAge = seconds(6);  // and a new one begins with a copy that may be so old
 
@@ -179,11 +180,11 @@
     double answers = 1;  // that usual_ms goes by, the guess among them
 };
 
-enum class Fate { out, never_ran, may_have_run };
 struct Attempt {
     Member* member;
     Time sent;
-    Fate fate;
+    bool out = true;
+    Execution execution = Execution::may_have_run;  // while it is out
 };
 
 struct Live {  // a request that is owed an answer, or has attempts out
@@ -202,9 +203,10 @@
     int asks = 0;
     std::optional<Time> timer{};
 
-    int out() const { return int(std::ranges::count(attempts, Fate::out, &Attempt::fate)); }
+    int out() const { return int(std::ranges::count(attempts, true, &Attempt::out)); }
     int may_have_run() const {
-        return int(attempts.size()) - int(std::ranges::count(attempts, Fate::never_ran, &Attempt::fate));
+        return int(attempts.size()) -
+               int(std::ranges::count(attempts, Execution::never_ran, &Attempt::execution));
     }
     bool tried(const Member* m) const { return std::ranges::count(attempts, m, &Attempt::member) > 0; }
     bool writes_of(SessionKey s) const { return session == s && cls->consistency == Consistency::write; }
@@ -433,7 +435,7 @@
         auto it = live.find(b.id);
         if (mit == members.end() || it == live.end() || std::exchange(it->second.begun, true)) return;
         mit->second.out = std::max(0, mit->second.out - 1);
-        judge(mit->second, {b.id, 0, b.member, Status::ok, b.latency, {}, {}, {}, {}}, it->second.cls.get());
+        judge(mit->second, {b.id, 0, b.member, Status::ok, b.latency, {}, {}, {}, {}, {}}, it->second.cls.get());
         pump(groups[mit->second.group]);
     }
 
@@ -559,7 +561,8 @@
     // What an attempt's end says of the member: whether it answers, whether it errs, how strained it is.
     void judge(Member& m, const Outcome& o, Class* c) {
         Status s = o.status;
-        bool answered = s == Status::ok || s == Status::error || s == Status::full || s == Status::miss;
+        bool answered = s == Status::ok || s == Status::error || s == Status::full || s == Status::miss ||
+                        s == Status::stale;
         if (s == Status::ok) m.rest /= 2;
         if (answered) {
             m.silent_since = now;
@@ -727,7 +730,8 @@
         std::optional<Time> need = needed(r);
         std::vector<Member*> fit;
         for (Member* m : up)
-            if (!need || m->position >= need || (checked() && expected(*m, *need, r.cls->bound)))
+            if (!need || m->position >= need ||
+                (checked() && !must_be_proven(r) && expected(*m, *need, r.cls->bound)))
                 fit.push_back(m);
         if (fit.empty()) return choose_unfit(g, r, up);
         // Ping, then room, then chance.
@@ -756,6 +760,13 @@
         if (stands(m) >= need) return true;
         return bound != Duration::zero() && *m.position + kCatchUp * (now - m.told_at) >= need + kMissRest;
     }
+    // A member that checks may not have heard yet of a commit that the session has been told of, and then
+    // answers with older data. A read that may not run again after that is sent only where its data is known
+    // to be new enough.
+    bool must_be_proven(const Live& r) const {
+        return r.cls->effect == Effect::unsafe && r.cls->consistency == Consistency::session &&
+               now < token(r) + kCommitUnheard;
+    }
     // No replica is known to pass.
     Choice choose_unfit(const Group& g, Live& r, const std::vector<Member*>& up) {
         bool bounded = r.cls->consistency == Consistency::bounded;
@@ -765,7 +776,7 @@
                 hopeful.push_back(m);
         bool early = now < *g.first_use + kFirstHold, hope = g.members.empty() || !hopeful.empty();
         std::erase_if(hopeful, [&](Member* m) { return !room(*m, g, r, 1); });
-        if (checked() && r.attempts.empty()) {
+        if (checked() && r.attempts.empty() && !must_be_proven(r)) {
             std::shuffle(hopeful.begin(), hopeful.end(), random);
             Member* least = nullptr;
             for (Member* m : hopeful)
@@ -838,7 +849,7 @@
     void send(Live& r, Member& m) {
         r.held = false;
         Time start_by = std::min(worth_holding_until(r), repeat_until(r));
-        r.attempts.push_back({&m, now, Fate::out});
+        r.attempts.push_back({&m, now});
         m.awaited_ms = m.out == 0 ? r.cls->usual_ms : std::max(m.awaited_ms, r.cls->usual_ms);
         if (m.out++ == 0) m.silent_since = now;
         if (m.trouble != Trouble::none) {
@@ -853,14 +864,13 @@
         schedule(r, r.deadline - kAnswerMargin);
     }
 
-    static bool proves_never_ran(Status s) {
-        return s == Status::full || s == Status::unreachable || s == Status::miss || s == Status::moot;
-    }
-
     void settle(Group& g, Live& r, const Outcome& o) {
-        if (o.attempt < r.attempts.size())
-            r.attempts[o.attempt].fate = proves_never_ran(o.status) ? Fate::never_ran : Fate::may_have_run;
-        bool ok = o.status == Status::ok, lost = !checked() && !ok && !proves_never_ran(o.status);
+        if (o.attempt < r.attempts.size()) {
+            r.attempts[o.attempt].out = false;
+            r.attempts[o.attempt].execution = o.execution();
+        }
+        bool ok = o.status == Status::ok;
+        bool lost = !checked() && !ok && o.execution() != Execution::never_ran;
         if (r.session && r.writes_of(*r.session) && (lost || (o.finished && ok && o.position)))
             remember(*r.session, lost ? now : *o.position);
         if (o.finished || r.finished) return finish(r);
@@ -879,7 +889,7 @@
     }
     // From the first send that may have run. What waits for a connection then may not begin any more.
     static Time repeat_until(const Live& r) {
-        auto first = std::ranges::find_if(r.attempts, [](auto& a) { return a.fate != Fate::never_ran; });
+        auto first = std::ranges::find_if(r.attempts, [](auto& a) { return a.execution != Execution::never_ran; });
         if (first == r.attempts.end() || r.cls->effect == Effect::safe) return Time::max();
         return first->sent + r.cls->window - kUpkeep;
     }
@@ -920,7 +930,7 @@
     void cancel(const Live& r) {
         if (!set.cancels.value_or(false)) return;
         for (std::size_t i = 0; i < r.attempts.size(); ++i)
-            if (r.attempts[i].fate == Fate::out) act(Cancel{r.id, std::uint32_t(i)});
+            if (r.attempts[i].out) act(Cancel{r.id, std::uint32_t(i)});
     }
 
     void finish(Live& r) {
--- a/src/routing/core.cpp
+++ b/src/routing/core.cpp
@@ -12,10 +12,6 @@
 constexpr Duration kAtOnce = milliseconds(5);
 // Closed this long before the member would: a request that crosses its closing could have run.
 constexpr double kIdleShare = 0.8;
-// An attempt's end that leaves open whether it has run.
-bool may_have_run(Status s) {
-    return s != Status::full && s != Status::unreachable && s != Status::miss && s != Status::moot;
-}
 constexpr Duration kHearsayKept = std::chrono::seconds(5);  // older news of a primary is none
 }  // namespace
 
@@ -32,7 +28,8 @@
     return std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.out; });
 }
 bool Core::Entry::may_have_run() const {
-    return std::any_of(attempts.begin(), attempts.end(), [](const Attempt& a) { return a.may_have_run; });
+    return std::any_of(attempts.begin(), attempts.end(),
+                       [](const Attempt& a) { return a.execution != Execution::never_ran; });
 }
 
 Core::Core(Driver& driver, const Clock& clock, const Settings& settings, std::uint64_t seed,
@@ -361,8 +358,6 @@
     Entry& entry = it->second;
     Attempt& attempt = entry.attempts.at(job.number);
     attempt.out = false;
-    attempt.may_have_run = may_have_run(result.status);
-    ++ledger_.ended[std::size_t(result.status)];
     if (entry.begun) {
         // What stands behind a long value is as old as its beginning: it tells nothing of the present, but
         // for a commit, which is a time of its own.
@@ -373,9 +368,11 @@
                     {{"class", entry.item.class_name},
                      {"short_ms", std::to_string(*job.needs - *result.position_unix_us / 1000)},
                      {"took_ms", std::to_string((now - job.sent).count() / 1000)}});
-        result.status = Status::miss;
+        result.status = Status::stale;
     }
     attempt.status = result.status;
+    attempt.execution = std::max(result.evidence, execution_of(result.status));
+    ++ledger_.ended[std::size_t(result.status)];
     if (result.status != Status::ok)
         request_log_.attempt_ended(describe(entry), job.number, m ? m->info.uid : "", result.status,
                                    now - job.sent);
@@ -407,6 +404,7 @@
     o.role = result.role;
     if (result.position_unix_us) o.position = clock_.from_unix(*result.position_unix_us);
     o.report = report;
+    o.evidence = result.evidence;
     inbox_.push_back(o);
     wake();
     forget_if_done(job.id);
@@ -655,8 +653,7 @@
         if (entry.responder && !entry.begun) open.push_back(id);
     for (RequestId id : open) {
         const Entry& entry = entries_.at(id);
-        bool ran = std::any_of(entry.attempts.begin(), entry.attempts.end(),
-                               [](const Attempt& a) { return a.out || a.may_have_run; });
+        bool ran = entry.may_have_run();
         auto kind = ran && !entry.safe ? Ending::Kind::failed : Ending::Kind::refused;
         inbox_.push_back(Withdrawn{id});
         finish(id, {kind, true, std::nullopt}, "the process ends");
--- a/src/routing/core.hpp
+++ b/src/routing/core.hpp
@@ -111,8 +111,8 @@
         Job job;
         MemberId member{};
         bool out = true;
-        bool may_have_run = false;
-        std::optional<starlingpond::Status> status;  // none: it is out
+        starlingpond::Execution execution = starlingpond::Execution::may_have_run;  // while it is out
+        std::optional<starlingpond::Status> status;                                 // none: it is out
     };
     struct Entry {
         Item item;
--- a/src/routing/request_log.cpp
+++ b/src/routing/request_log.cpp
@@ -30,6 +30,8 @@
             return "moot";
         case Status::miss:
             return "miss";
+        case Status::stale:
+            return "stale";
     }
     return "unknown";
 }
--- a/src/routing/site_shell.cpp
+++ b/src/routing/site_shell.cpp
@@ -55,6 +55,7 @@
         case Status::error:
         case Status::full:
         case Status::miss:
+        case Status::stale:
             sign = site::Sign::answer;
             break;
         case Status::timeout:
--- a/src/routing/types.hpp
+++ b/src/routing/types.hpp
@@ -125,6 +125,8 @@
     Answer answer;
     bool reusable = true;          // the link may carry another
     const char* spoilt = nullptr;  // what was wrong with an answer that can't be used
+    // What the wire has shown of the statement's execution beyond what the status proves.
+    starlingpond::Execution evidence = starlingpond::Execution::never_ran;
 };
 
 struct MemberInfo {  // an entry of the list
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -162,12 +162,12 @@
         return nullptr;
     }
     void end(RequestId id, Status status, std::optional<Role> role = std::nullopt,
-             std::optional<Time> position = std::nullopt) {
+             std::optional<Time> position = std::nullopt, Execution evidence = Execution::never_ran) {
         const Sent* s = last(id);
         if (!s) return;
         bool finished = status == Status::ok || finals.contains(id);
         if (status == Status::ok && !finals.contains(id)) finals[id] = "served";
-        give(Outcome{id, s->attempt, s->member, status, now - s->at, finished, role, position, {}});
+        give(Outcome{id, s->attempt, s->member, status, now - s->at, finished, role, position, {}, evidence});
     }
     void done(RequestId id) {
         if (!last(id)) run(20ms);
@@ -418,6 +418,37 @@
     }
 }
 
+// Incident of 2 December: an answer of old data, or a refusal behind a row, was taken for "never ran".
+TEST(RuleTwo, WhatIsKnownToHaveRunIsNeitherRepeatedNorRefusedWhateverElseIsSaid) {
+    struct Case {
+        Status status;
+        Execution evidence;
+    };
+    for (auto [status, evidence] : {Case{Status::stale, Execution::never_ran}, Case{Status::full, Execution::ran},
+                                    Case{Status::miss, Execution::ran}, Case{Status::unreachable, Execution::ran},
+                                    Case{Status::moot, Execution::may_have_run},
+                                    Case{Status::full, Execution::may_have_run}}) {
+        Bed bed;
+        bed.group(3);
+        RequestId id = bed.ask(kWrite, 3s);
+        bed.end(id, status, Role::primary, bed.now, evidence);
+        bed.run(3s);
+        EXPECT_EQ(bed.attempts[id], 1u) << int(status);
+        EXPECT_EQ(bed.finals[id], "failed") << int(status);
+    }
+}
+
+TEST(RuleTwo, ASafeReadWhoseAnswerWasTooOldGoesElsewhere) {
+    Bed bed;
+    bed.group(3);
+    RequestId id = bed.ask(kAny, 3s);
+    MemberId first = bed.target(id);
+    bed.end(id, Status::stale, Role::replica, bed.now - 2s);
+    bed.run(100ms);
+    EXPECT_EQ(bed.attempts[id], 2u);
+    EXPECT_NE(bed.target(id), first);
+}
+
 TEST(RuleTwo, AWriteTurnedAwayUntouchedGoesToTheNewPrimary) {
     Bed bed;
     bed.group(3);
--- a/tests/processes/execution_test.cpp
+++ b/tests/processes/execution_test.cpp
@@ -70,6 +70,11 @@
         return c.reply();
     }
 
+    void wait(std::chrono::milliseconds length) {
+        auto end = std::chrono::steady_clock::now() + length;
+        REQUIRE(loop.until([&] { return std::chrono::steady_clock::now() >= end; }));
+    }
+
     // How many hosts were sent the last request.
     int sent_to() const {
         char id[17];
@@ -92,8 +97,11 @@
     d.hosts[1].lag_ms = d.hosts[2].lag_ms = 3'600'000;
     for (std::size_t pooler = 0; pooler < 3; ++pooler) {
         auto client = d.client(pooler);
-        for (int session = 1; session <= 20; ++session) {
-            REQUIRE(d.ask(*client, true, session) == "TDCZ");
+        for (int n = 0; n < 40; ++n) {
+            int session = 1 + n % 20;
+            // At first right after the write; then once hosts count as having heard of it.
+            if (n < 20) REQUIRE(d.ask(*client, true, session) == "TDCZ");
+            if (n == 20) d.wait(300ms);
             std::string reply = d.ask(*client, false, session);
             CHECK(d.sent_to() == 1);
             // Old data is not passed on, and what has run is not refused: that would promise no effect.
