System calls: short writes, EINTR and failing accepts hide nothing; kernel's word on what is written

EINTR from a read ended the connection. 'Written whole' went by a handler that runs later than the kernel's answer.

Change: the connection writes until the kernel takes no more and only then waits, so all_written() is the kernel's word, on which 'never ran' rests; the listener waits for readiness and accepts in bursts; EINTR is no verdict. Sockets that this machine has no means to open (EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL) say nothing of the host (End::unopened).

--- a/src/routing/interfaces.hpp
+++ b/src/routing/interfaces.hpp
@@ -14,6 +14,7 @@
     // How a link that nobody closed came to its end.
     enum class End {
         unreachable,  // it never came up
+        unopened,     // this machine had no means to open it, which says nothing of the member
         turned_away,  // the member said that it has no room
         unwritten,    // it broke before the last byte of its job was written
         written,      // it broke after that: the job may have run
--- a/src/routing/pool.cpp
+++ b/src/routing/pool.cpp
@@ -13,6 +13,21 @@
     result.reusable = false;
     return result;
 }
+
+Status status_of(Link::End end) {
+    switch (end) {
+        case Link::End::turned_away:
+            return Status::full;
+        case Link::End::written:
+            return Status::reset;
+        case Link::End::unopened:
+            return Status::moot;
+        case Link::End::unreachable:
+        case Link::End::unwritten:
+            break;
+    }
+    return Status::unreachable;
+}
 }  // namespace
 
 Pool::Pool(MemberId member, Backend& backend, const Clock& clock, Duration connect_timeout, Owner& owner)
@@ -180,10 +195,7 @@
     }
     drop(entry);
     if (job) {
-        Status status = end == Link::End::turned_away ? Status::full
-                        : end == Link::End::written   ? Status::reset
-                                                      : Status::unreachable;
-        owner_.on_job_end(*this, *job, ended(status));
+        owner_.on_job_end(*this, *job, ended(status_of(end)));
     }
     serve_waiting();
 }
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -17,7 +17,25 @@
 constexpr auto kLingerTime = std::chrono::milliseconds(1000);  // to write what is left; to discard
 constexpr auto kAwaitEnd = std::chrono::milliseconds(300);     // for the other side's end, after our own
 constexpr auto kHangupEvery =
-    std::chrono::milliseconds(40);  // a client that has gone is to be seen in 100 ms
+    std::chrono::milliseconds(40);               // a client that has gone is to be seen in 100 ms
+constexpr std::size_t kWriteBufferKept = 16384;  // bytes of an empty write buffer that stay allocated
+
+// An interrupted call, or one for which nothing was there yet, is made again.
+bool transient(const error_code& ec) {
+    return ec == asio::error::would_block || ec == asio::error::interrupted;
+}
+
+// What stands next in the kernel's buffer, without reading it.
+enum class Peek { nothing, bytes, end };
+Peek peek(int socket) {
+    char byte;
+    ssize_t count = 0;
+    do {
+        count = ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    } while (count < 0 && errno == EINTR);
+    if (count > 0) return Peek::bytes;
+    return count < 0 && (errno == EAGAIN || errno == EWOULDBLOCK) ? Peek::nothing : Peek::end;
+}
 }  // namespace
 
 struct Connection::Reader : asio::coroutine {
@@ -57,7 +75,7 @@
                     Buffer::Span room = c.in_.prepare(c.room_);
                     count = c.socket_.read_some(asio::buffer(room.data, room.size), ec);
                 }
-                if (ec == asio::error::would_block) continue;
+                if (transient(ec)) continue;
                 if (ec) {
                     c.fail(ec);
                     return;
@@ -70,32 +88,35 @@
     }
 };
 
+// Writes until the kernel takes no more, and only then waits. What the kernel has taken is counted in the
+// same call, so that all_written() tells at any moment whether the other side may have all of it. The handler
+// never hears of it from within write(): ends are posted.
 struct Connection::Writer : asio::coroutine {
     std::shared_ptr<Connection> self;
+    error_code failure{};
+    bool posted = false;  // write() has returned
 
     explicit Writer(std::shared_ptr<Connection> c) : self(std::move(c)) {}
 
-    void operator()(error_code ec = {}, std::size_t count = 0) {
+    void operator()(error_code ec = {}) {
         Connection& c = *self;
         if (c.state_ == State::closed) return;
         reenter(this) {
-            while (!c.out_.empty()) {
-                std::swap(c.out_, c.writing_);
-                while (c.written_ < c.writing_.size()) {
-                    yield c.socket_.async_write_some(
-                        asio::buffer(c.writing_.data() + c.written_, c.writing_.size() - c.written_),
-                        Writer(*this));
-                    if (ec) {
-                        c.fail(ec);
-                        return;
-                    }
-                    c.written_ += count;
-                    c.sent_ += count;
+            for (;;) {
+                while (!failure && c.write_some(failure)) {
                 }
-                c.written_ = 0;
-                c.writing_.clear();
-                if (c.writing_.capacity() > 16384) c.writing_.shrink_to_fit();
+                if (failure == asio::error::would_block) {
+                    failure = {};
+                    posted = true;
+                    yield c.socket_.async_wait(asio::ip::tcp::socket::wait_write, Writer(*this));
+                    failure = ec;
+                    continue;
+                }
+                if (posted) break;
+                posted = true;
+                yield asio::post(c.strand_, Writer(*this));
             }
+            if (failure) return c.fail(failure);
             c.writer_busy_ = false;
             if (c.close_when_written_) return c.half_close();
             if (c.handler_) c.handler_->on_written();
@@ -117,7 +138,7 @@
             while (!ec && left > 0) {
                 yield c.socket_.async_wait(asio::ip::tcp::socket::wait_read, Discard(*this));
                 if (!ec) left -= std::min(left, c.socket_.read_some(asio::buffer(scratch), ec));
-                if (ec == asio::error::would_block) ec = {};
+                if (transient(ec)) ec = {};
             }
             c.close();
         }
@@ -134,10 +155,9 @@
     void operator()(error_code ec = {}) {
         Connection& c = *self;
         if (c.state_ == State::closed) return;
-        char byte;
         reenter(this) {
             yield c.socket_.async_wait(asio::ip::tcp::socket::wait_read, AwaitEnd(*this));
-            if (ec || ::recv(c.socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) <= 0) c.close();
+            if (ec || peek(c.socket_.native_handle()) != Peek::bytes) c.close();
         }
     }
 };
@@ -197,9 +217,26 @@
 
 bool Connection::quiet() {
     if (state_ != State::open || !in_.empty()) return false;
-    char byte;
-    return ::recv(socket_.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
-           (errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR);
+    return peek(socket_.native_handle()) == Peek::nothing;
+}
+
+// One send of what is queued. False: nothing is left, or `ec` tells why no more can be written now.
+bool Connection::write_some(error_code& ec) {
+    if (writing_.empty()) {
+        if (out_.empty()) return false;
+        std::swap(out_, writing_);
+    }
+    std::size_t count =
+        socket_.write_some(asio::buffer(writing_.data() + written_, writing_.size() - written_), ec);
+    if (ec == asio::error::interrupted) ec = {};
+    written_ += count;
+    sent_ += count;
+    if (written_ == writing_.size()) {
+        written_ = 0;
+        writing_.clear();
+        if (writing_.capacity() > kWriteBufferKept) writing_.shrink_to_fit();
+    }
+    return !ec;
 }
 
 void Connection::write(std::string bytes) {
--- a/src/transport/connection.hpp
+++ b/src/transport/connection.hpp
@@ -48,6 +48,7 @@
     bool readable();  // something has come that the handler has not consumed
     bool quiet();     // open, with nothing unread and no end of the stream, here or in the kernel
     void write(std::string bytes);
+    // The kernel has taken all that was queued, so that the other side may have it.
     bool all_written() const { return out_.empty() && writing_.empty(); }
     std::size_t unwritten() const { return out_.size() + writing_.size() - written_; }
 
@@ -86,6 +87,7 @@
     struct Discard;
     struct AwaitEnd;
 
+    bool write_some(error_code& ec);
     void half_close();
     bool hung_up();
     void await_hangup();
--- a/src/transport/listener.cpp
+++ b/src/transport/listener.cpp
@@ -5,39 +5,62 @@
 
 namespace indigovane::transport {
 
+namespace {
+constexpr auto kRetryAfter = std::chrono::milliseconds(20);
+constexpr int kAtOnce = 16;  // connections accepted in one go
+
+// One connection has ended before it was accepted, or the call was interrupted: others may stand behind it
+// (accept(2), "Error handling").
+bool concerns_one_connection(const error_code& ec) {
+    return ec == asio::error::connection_aborted || ec == asio::error::interrupted ||
+           ec == boost::system::errc::protocol_error;
+}
+}  // namespace
+
+// Waits until the socket is ready and then accepts until nothing is left. Asio's own asynchronous accept
+// waits for another edge after a connection that was aborted, which hides those behind it.
 struct Listener::Accept : asio::coroutine {
     Listener* listener;
 
     explicit Accept(Listener* l) : listener(l) {}
 
-    void operator()(error_code ec = {},
-                    asio::ip::tcp::socket socket = asio::ip::tcp::socket(asio::system_executor())) {
+    void operator()(error_code ec = {}) {
         if (ec == asio::error::operation_aborted) return;
         reenter(this) {
             while (listener->acceptor_.is_open() && !listener->paused_) {
-                yield listener->acceptor_.async_accept(
-                    listener->io_, [again = *this](error_code e, asio::ip::tcp::socket s) mutable {
-                        again(e, std::move(s));
-                    });
-                if (!ec) {
-                    listener->taker_(std::move(socket));
-                } else {
-                    // Out of descriptors, most likely: try again shortly rather than spin.
-                    listener->retry_.expires_after(std::chrono::milliseconds(20));
-                    yield listener->retry_.async_wait([again = *this](error_code e) mutable { again(e); });
-                }
+                yield listener->acceptor_.async_wait(asio::ip::tcp::acceptor::wait_read, Accept(*this));
+                ec = listener->accept_some();
+                if (!ec) continue;
+                // Out of descriptors or memory: try again shortly rather than spin.
+                listener->retry_.expires_after(kRetryAfter);
+                yield listener->retry_.async_wait(Accept(*this));
             }
             listener->accepting_ = false;
         }
     }
 };
 
+// Takes what waits, up to a bound that leaves others on the loop their turn. An error: the next may fail as
+// well.
+error_code Listener::accept_some() {
+    for (int i = 0; i < kAtOnce && acceptor_.is_open() && !paused_; ++i) {
+        error_code ec;
+        asio::ip::tcp::socket socket(io_);
+        acceptor_.accept(socket, ec);
+        if (ec == asio::error::would_block) return {};
+        if (concerns_one_connection(ec)) continue;
+        if (ec) return ec;
+        taker_(std::move(socket));
+    }
+    return {};
+}
+
 Listener::Listener(asio::io_context& io, const ListenAt& where, Taker taker)
     : io_(io), strand_(asio::make_strand(io)), acceptor_(strand_), retry_(strand_), taker_(std::move(taker)) {
     const Endpoint& at = where.at;
     if (where.inherited >= 0) {
         acceptor_.assign(at.protocol(), where.inherited);
-        acceptor_.non_blocking(true);
+        make_nonblocking();
         return;
     }
     acceptor_.open(at.protocol());
@@ -46,7 +69,13 @@
         acceptor_.set_option(asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>(true));
     acceptor_.bind(at);
     acceptor_.listen(asio::socket_base::max_listen_connections);
+    make_nonblocking();
+}
+
+// Without the option a blocking wait follows a connection that was aborted.
+void Listener::make_nonblocking() {
     acceptor_.non_blocking(true);
+    acceptor_.set_option(asio::socket_base::enable_connection_aborted(true));
 }
 
 void Listener::start() {
@@ -66,12 +95,16 @@
 }
 
 void Listener::drain() {
-    while (acceptor_.is_open()) {
+    constexpr int tries = 64;  // that fail for want of descriptors or memory: what is left is reset unread
+    for (int failures = 0; acceptor_.is_open() && failures < tries;) {
         error_code ec;
         asio::ip::tcp::socket socket(io_);
         acceptor_.accept(socket, ec);
-        if (ec) return;
-        taker_(std::move(socket));
+        if (ec == asio::error::would_block) return;
+        if (!ec)
+            taker_(std::move(socket));
+        else if (!concerns_one_connection(ec))
+            ++failures;
     }
 }
 
--- a/src/transport/listener.hpp
+++ b/src/transport/listener.hpp
@@ -34,6 +34,8 @@
 
   private:
     struct Accept;
+    void make_nonblocking();
+    error_code accept_some();
 
     asio::io_context& io_;
     Strand strand_;
--- a/tests/processes/harness.hpp
+++ b/tests/processes/harness.hpp
@@ -26,7 +26,9 @@
 // One process of the program. It ends with this object, whatever state it is in.
 class Process {
   public:
-    Process(const std::string& folder, const std::string& name, const std::vector<std::string>& arguments)
+    // `environment`: further variables, as NAME=VALUE.
+    Process(const std::string& folder, const std::string& name, const std::vector<std::string>& arguments,
+            std::vector<std::string> environment = {})
         : log_(folder + "/" + name + ".log") {
         posix_spawn_file_actions_t actions;
         posix_spawn_file_actions_init(&actions);
@@ -38,6 +40,7 @@
         // What a pooler leaves in its scratch folder for its heirs is its test's alone.
         std::string scratch = "TMPDIR=" + folder;
         std::vector<char*> variables{scratch.data()};
+        for (std::string& variable : environment) variables.push_back(variable.data());
         for (char** v = environ; *v; ++v)
             if (std::string_view(*v).substr(0, 7) != "TMPDIR=") variables.push_back(*v);
         variables.push_back(nullptr);
