One guard for sending, repeating, answering and closing; violations are counted

The rule on repeats stood in the module alone, and the core believed it. RequestGuard (src/routing/request_guard.hpp) is asked before every attempt is taken on and again before its first byte, before every refusal, and at every close of a client's connection; it goes by the one record of each attempt (attempt.hpp). What would break an invariant is held back and the request ends as failed; what shows only afterwards (ran twice, answered late, closed with an answer owed) is counted. Message id 'guard', counts in the ledger line.

Found on the way: a keyed read that may have run was refused (53300) when its retry budget was spent (Core::turn_away); it fails now. A request that has waited 40 ms is not sent if its client's connection has hung up in the kernel, read or not.

--- a/src/adapters/limited_intake.cpp
+++ b/src/adapters/limited_intake.cpp
@@ -25,6 +25,7 @@
         responder_->began(answer, length);
     }
     bool piece(std::string_view bytes) override { return responder_->piece(bytes); }
+    bool present() override { return responder_->present(); }
     void broken() override {
         Responder* to = responder_;
         owner_.end(id_, limits::End::failed, 0);
@@ -121,10 +122,10 @@
     if (it != tickets_.end() && it->second->in_core_) core_.resume(it->second->core_id_);
 }
 
-void LimitedIntake::withdraw(RequestId id) {
+void LimitedIntake::withdraw(RequestId id, Departure departure) {
     auto it = tickets_.find(std::uint64_t(id));
     if (it == tickets_.end()) return;
-    if (it->second->in_core_) core_.withdraw(it->second->core_id_);
+    if (it->second->in_core_) core_.withdraw(it->second->core_id_, departure);
     std::erase_if(refused_, [&](const limits::Verdict& v) { return v.id == std::uint64_t(id); });
     end(id, limits::End::withdrawn, 0);
 }
--- a/src/adapters/limited_intake.hpp
+++ b/src/adapters/limited_intake.hpp
@@ -28,7 +28,7 @@
         return held_ids_.count(id) > 0 || core_.is_open(id);
     }
     void resume(routing::RequestId id) override;
-    void withdraw(routing::RequestId id) override;
+    void withdraw(routing::RequestId id, Departure departure) override;
 
     void set(const limits::Settings& settings);  // for what comes and what waits
     // Classes have other numbers from now on, also those of what waits.
--- a/src/adapters/session.cpp
+++ b/src/adapters/session.cpp
@@ -48,8 +48,8 @@
     return door_.refusing();
 }
 
-void Session::close() {
-    if (state_ == State::asked) intake_.withdraw(request_);
+void Session::end_with(routing::Intake::Departure departure) {
+    if (state_ == State::asked) intake_.withdraw(request_, departure);
     state_ = State::over;
     timer_.cancel();
     connection_->close();
@@ -85,7 +85,7 @@
 
 void Session::on_closed(const transport::error_code&) {
     auto self = shared_from_this();
-    close();
+    end_with(routing::Intake::Departure::client_left);
     door_.leave(self);
 }
 
--- a/src/adapters/session.hpp
+++ b/src/adapters/session.hpp
@@ -37,7 +37,7 @@
     bool between_requests();      // nothing is owed to this client, and nothing of it is unread
     void retire();                // closes if that is so and the door wants it
     void give_way() { leave(); }  // between requests
-    void close();                 // at once
+    void close() { end_with(routing::Intake::Departure::closed_here); }  // at once
     // The door's notes on it.
     std::uint64_t used = 0;                      // when it last had a request, or came, as a count
     std::chrono::steady_clock::time_point came;  // and the time that it came
@@ -84,6 +84,8 @@
     void on_data(transport::Buffer& in) override;
     void on_written() override;
     void on_closed(const transport::error_code& ec) override;
+    bool present() override { return !connection_->hung_up(); }
+    void end_with(routing::Intake::Departure departure);
     void work();
     void watch();
 
--- a/src/lab/fleet.cpp
+++ b/src/lab/fleet.cpp
@@ -822,7 +822,7 @@
                 for (auto& [number, t] : tries_)
                     if (!t->over && t->pooler == i) {
                         t->over = true;
-                        poolers[i]->core.withdraw(t->core_id);
+                        poolers[i]->core.withdraw(t->core_id, routing::Intake::Departure::client_left);
                         auditor.left(t->id);
                         ++summary.failed;
                     }
--- a/src/routing/core.cpp
+++ b/src/routing/core.cpp
@@ -10,6 +10,8 @@
 namespace {
 constexpr Duration kTellEvery = std::chrono::seconds(5);  // the ledger
 constexpr Duration kAtOnce = milliseconds(5);
+// A client's end that came while its request waited may be unread yet; a fresh request's client is there.
+constexpr Duration kPresenceChecked = milliseconds(40);
 // Closed this long before the member would: a request that crosses its closing could have run.
 constexpr double kIdleShare = 0.8;
 constexpr Duration kHearsayKept = std::chrono::seconds(5);  // older news of a primary is none
@@ -41,7 +43,8 @@
       logger_(logger),
       brain_(settings, seed, clock.now()),
       settings_(settings),
-      request_log_(logger) {}
+      request_log_(logger),
+      guard_(logger) {}
 
 Core::~Core() = default;
 
@@ -68,8 +71,7 @@
     held_bytes_ += entry.bytes;
     open_ids_.insert(item.id);
     if (write_ && item.session && item.writes()) write_(*item.session, true);
-    auto cls = std::size_t(item.cls);
-    entry.safe = cls < settings_.classes.size() && settings_.classes[cls].effect == Effect::safe;
+    entry.rule = RepeatRule::of(settings_, item.cls);
     entry.item = std::move(item);
     entry.responder = &responder;
     wake();
@@ -80,9 +82,11 @@
     return id;
 }
 
-void Core::withdraw(RequestId id) {
+void Core::withdraw(RequestId id, Departure departure) {
     auto it = entries_.find(id);
     if (it == entries_.end() || !it->second.responder) return;
+    if (departure == Departure::closed_here && !it->second.begun)
+        guard_.violated(Invariant::answer_before_close, it->second.item, it->second.attempts);
     it->second.responder = nullptr;
     ++ledger_.withdrawn;
     if (!it->second.attempts.empty()) request_log_.withdrawn(describe(it->second));
@@ -258,7 +262,8 @@
 void Core::rescue(const std::set<MemberId>& silent) {
     std::vector<std::pair<MemberId, Job>> out;
     for (auto& [id, entry] : entries_) {
-        if (!entry.responder || entry.begun || entry.item.writes() || !entry.safe) continue;
+        if (!entry.responder || entry.begun || entry.item.writes() || entry.rule.effect != Effect::safe)
+            continue;
         for (const Attempt& a : entry.attempts)
             if (a.out && silent.count(a.member)) out.push_back({a.member, a.job});
     }
@@ -277,14 +282,18 @@
     return true;
 }
 
-// Harmless to ask again: it never ran, or it is a read.
+// Refused where asking again is harmless, failed else.
 void Core::turn_away(RequestId id) {
+    auto it = entries_.find(id);
+    if (it == entries_.end()) return;
+    const char* why = "its site is given up, or its retry budget spent";
+    if (!RequestGuard::refusal_is_harmless(it->second.rule, it->second.attempts))
+        return finish(id, {Ending::Kind::failed, false, std::nullopt}, why);
     std::optional<Duration> retry_after;
     if (settings_.retry_after.value_or(false))
         retry_after =
             std::min(sites_->retry_after(), settings_.longest_retry_after.value_or(sites_->retry_after()));
-    finish(id, {Ending::Kind::refused, false, retry_after},
-           "its site is given up, or its retry budget spent");
+    finish(id, {Ending::Kind::refused, false, retry_after}, why);
 }
 
 void Core::leave(Member& m) {
@@ -372,6 +381,8 @@
     }
     attempt.status = result.status;
     attempt.execution = std::max(result.evidence, execution_of(result.status));
+    if (attempt.execution == Execution::ran && RequestGuard::ran_twice(entry.rule, entry.attempts))
+        guard_.violated(Invariant::ran_once, entry.item, entry.attempts);
     ++ledger_.ended[std::size_t(result.status)];
     if (result.status != Status::ok)
         request_log_.attempt_ended(describe(entry), job.number, m ? m->info.uid : "", result.status,
@@ -389,6 +400,8 @@
         sites_->took(entry.item, now - job.sent);
     if (result.status == Status::ok && entry.responder) {
         // The first answer goes to the client by itself and ends the request.
+        if (!entry.begun && RequestGuard::answered_late(entry.deadline, now))
+            guard_.violated(Invariant::answer_in_time, entry.item, entry.attempts);
         Responder* responder = std::exchange(entry.responder, nullptr);
         responder->served(result.answer);
     } else if (entry.begun && entry.responder) {
@@ -470,6 +483,13 @@
     const Member* m = member(pool.member());
     Time now = clock_.now();
     if (!m || m->refused_new || now >= job.until || now > job.start) return nullptr;
+    Entry& entry = it->second;
+    if (now - entry.arrived > kPresenceChecked && !entry.responder->present()) return nullptr;
+    std::span<const Attempt> earlier(entry.attempts.data(), job.number);
+    if (auto broken = RequestGuard::against_attempt(entry.rule, earlier, m->info.zone, m->info.group, now)) {
+        guard_.violated(*broken, entry.item, entry.attempts);
+        return nullptr;
+    }
     if (auto commit = it->second.overtaken) job.needs = std::max(job.needs.value_or(0), *commit);
     return &it->second.item;
 }
@@ -555,7 +575,14 @@
 
 void Core::tell(Time now) {
     told_ = now;
-    if (!ledger_.empty()) logger_.log(Level::info, "ledger", "since the line before", ledger_.data());
+    if (!ledger_.empty()) {
+        Logger::Data data = ledger_.data();
+        for (std::size_t i = 0; i < kInvariants; ++i)  // since the start
+            if (auto count = guard_.violations()[i])
+                data.push_back(
+                    {std::string("violated_") + invariant_name(Invariant(i)), std::to_string(count)});
+        logger_.log(Level::info, "ledger", "since the line before", data);
+    }
     ledger_ = {};
 }
 
@@ -579,21 +606,26 @@
     job.sent = clock_.now();
     job.until = send.timeout ? std::min(entry.deadline, job.sent + *send.timeout) : entry.deadline;
     if (send.needs) job.needs = clock_.to_unix(*send.needs) / 1000;
-    bool second = entry.out();
     bool again = entry.may_have_run();
+    std::optional<Invariant> broken;
+    if (m && entry.responder)
+        broken =
+            RequestGuard::against_attempt(entry.rule, entry.attempts, m->info.zone, m->info.group, job.sent);
     if (!entry.attempts.empty() && entry.responder)
         request_log_.retried(describe(entry), m ? m->info.uid : "", entry.attempts.back().status);
     // A read that comes again without a budget left ends here: the module hears that it is over.
     bool spent = sites_ && again && entry.responder && !entry.item.writes() && !sites_->may_repeat();
-    if (spent) turn_away(send.id);
+    if (spent)
+        turn_away(send.id);
+    else if (broken)
+        hold_back(send.id, *broken);
     ++ledger_.sent;
     Attempt& attempt = entry.attempts.emplace_back();
     attempt.job = job;
     attempt.member = send.member;
+    if (m) attempt.zone = m->info.zone, attempt.group = m->info.group;
     if (m) ++m->attempts;
-    if (second || !entry.responder || !m) {
-        // Guards the rule that no two attempts of a request are out at once, whatever the module says.
-        if (second) logger_.log(Level::error, "second-copy", "the module sent a second copy; held back");
+    if (broken || !entry.responder || !m) {
         Result moot;
         moot.status = spent ? Status::cancelled : Status::moot;
         end_job(send.member, job, std::move(moot));
@@ -631,9 +663,27 @@
             entry.may_have_run()};
 }
 
-void Core::finish(RequestId id, const Ending& ending, const char* why) {
+// An attempt that the guard does not let out never ran, and the module hears so. Where no further attempt can
+// be allowed either, the request ends here.
+void Core::hold_back(RequestId id, Invariant invariant) {
+    const Entry& entry = entries_.at(id);
+    guard_.violated(invariant, entry.item, entry.attempts);
+    if (invariant == Invariant::single_attempt) return;
+    finish(id, {Ending::Kind::failed, false, std::nullopt}, "the guard held a further attempt back");
+}
+
+void Core::finish(RequestId id, Ending ending, const char* why) {
     auto it = entries_.find(id);
     if (it == entries_.end() || !it->second.responder || it->second.begun) return;
+    const Entry& entry = it->second;
+    if (ending.kind == Ending::Kind::refused &&
+        !RequestGuard::refusal_is_harmless(entry.rule, entry.attempts)) {
+        guard_.violated(Invariant::harmless_refusal, entry.item, entry.attempts);
+        ending.kind = Ending::Kind::failed;
+        ending.retry_after.reset();
+    }
+    if (RequestGuard::answered_late(entry.deadline, clock_.now()))
+        guard_.violated(Invariant::answer_in_time, entry.item, entry.attempts);
     if (ending.kind == Ending::Kind::refused) {
         ++ledger_.refused;
         if (clock_.now() - it->second.arrived < kAtOnce) ++ledger_.refused_at_once;
@@ -653,8 +703,8 @@
         if (entry.responder && !entry.begun) open.push_back(id);
     for (RequestId id : open) {
         const Entry& entry = entries_.at(id);
-        bool ran = entry.may_have_run();
-        auto kind = ran && !entry.safe ? Ending::Kind::failed : Ending::Kind::refused;
+        auto kind = RequestGuard::refusal_is_harmless(entry.rule, entry.attempts) ? Ending::Kind::refused
+                                                                                  : Ending::Kind::failed;
         inbox_.push_back(Withdrawn{id});
         finish(id, {kind, true, std::nullopt}, "the process ends");
     }
--- a/src/routing/core.hpp
+++ b/src/routing/core.hpp
@@ -14,6 +14,7 @@
 #include "routing/interfaces.hpp"
 #include "routing/ledger.hpp"
 #include "routing/pool.hpp"
+#include "routing/request_guard.hpp"
 #include "routing/request_log.hpp"
 #include "routing/site_shell.hpp"
 
@@ -50,7 +51,7 @@
     bool has_room(std::size_t bytes) const override { return held_bytes_ + bytes <= limits_.bytes; }
     bool is_open(const std::string& id) const override { return open_ids_.count(id) > 0; }
     void resume(RequestId id) override;
-    void withdraw(RequestId id) override;
+    void withdraw(RequestId id, Departure departure) override;
     // Other settings and limits from the next batch on. `continues`: for each class the one that it
     // continues.
     void retune(const starlingpond::Settings& settings, std::vector<std::optional<ClassId>> continues,
@@ -105,15 +106,9 @@
     std::size_t requests() const { return entries_.size(); }
     std::size_t links() const { return links_; }
     std::size_t members() const { return members_.size(); }
+    const RequestGuard::Counts& violations() const { return guard_.violations(); }
 
   private:
-    struct Attempt {
-        Job job;
-        MemberId member{};
-        bool out = true;
-        starlingpond::Execution execution = starlingpond::Execution::may_have_run;  // while it is out
-        std::optional<starlingpond::Status> status;                                 // none: it is out
-    };
     struct Entry {
         Item item;
         Responder* responder = nullptr;  // none: the request has its final answer, or its client is gone
@@ -122,7 +117,7 @@
         std::vector<Attempt> attempts;
         bool over = false;
         bool begun = false;                     // part of a long value is with the client
-        bool safe = false;                      // by the settings that it came with
+        RepeatRule rule;                        // by the settings that it came with
         std::optional<std::int64_t> overtaken;  // its session's commit while it waited, a Unix time in ms
         bool out() const;
         bool may_have_run() const;
@@ -182,7 +177,8 @@
     void act(const starlingpond::Log& line);
 
     RequestLog::Request describe(const Entry& entry) const;
-    void finish(RequestId id, const Ending& ending, const char* why);
+    void finish(RequestId id, Ending ending, const char* why);
+    void hold_back(RequestId id, Invariant invariant);
     void forget_if_done(RequestId id);
     void set_alarm(Alarm alarm);
     void collect_due(Time now);
@@ -221,6 +217,7 @@
     Time swept_{}, told_{}, finish_by_ = Time::max();
     Ledger ledger_;
     RequestLog request_log_;
+    RequestGuard guard_;
     std::size_t links_ = 0, held_bytes_ = 0;
     bool woken_ = false, starved_ = false, serve_due_ = false;
 };
--- a/src/routing/interfaces.hpp
+++ b/src/routing/interfaces.hpp
@@ -87,8 +87,13 @@
     virtual bool has_room(std::size_t bytes) const = 0;
     // Whether a request of that client's id is in hand: two of them could not be told apart by a member.
     virtual bool is_open(const std::string& id) const = 0;
-    virtual void resume(RequestId id) = 0;    // its responder has room for pieces again
-    virtual void withdraw(RequestId id) = 0;  // the client has gone: the responder hears nothing more
+    virtual void resume(RequestId id) = 0;  // its responder has room for pieces again
+    // Nobody waits for the answer any more: the responder hears nothing more.
+    enum class Departure {
+        client_left,
+        closed_here,  // this process has ended the connection, though an answer is owed on it
+    };
+    virtual void withdraw(RequestId id, Departure departure) = 0;
 
   protected:
     ~Intake() = default;
--- a/src/routing/types.hpp
+++ b/src/routing/types.hpp
@@ -110,6 +110,9 @@
     virtual bool piece(std::string_view) { return true; }
     virtual void broken() {}
     virtual void ended(const Ending& ending) = 0;
+    // Whether its client is still there as far as this machine's kernel knows, also where nothing has been
+    // read yet that says so.
+    virtual bool present() { return true; }
 
   protected:
     ~Responder() = default;
--- a/src/transport/connection.hpp
+++ b/src/transport/connection.hpp
@@ -46,6 +46,7 @@
     void established();
 
     bool readable();  // something has come that the handler has not consumed
+    bool hung_up();   // the other side has closed, or ended its sending, behind whatever is unread
     bool quiet();     // open, with nothing unread and no end of the stream, here or in the kernel
     void write(std::string bytes);
     // The kernel has taken all that was queued, so that the other side may have it.
@@ -89,7 +90,6 @@
 
     bool write_some(error_code& ec);
     void half_close();
-    bool hung_up();
     void await_hangup();
     void fail(const error_code& ec);
 
--- a/tests/acceptance_test.cpp
+++ b/tests/acceptance_test.cpp
@@ -71,7 +71,7 @@
     bool has_room(std::size_t) const override { return true; }
     bool is_open(const std::string&) const override { return false; }
     void resume(routing::RequestId) override {}
-    void withdraw(routing::RequestId id) override { withdrawn.push_back(std::uint64_t(id)); }
+    void withdraw(routing::RequestId id, Departure) override { withdrawn.push_back(std::uint64_t(id)); }
     std::vector<routing::Item> items;
     std::vector<routing::Responder*> open;
     std::vector<std::uint64_t> withdrawn;
--- a/tests/front_test.cpp
+++ b/tests/front_test.cpp
@@ -23,7 +23,7 @@
     bool has_room(std::size_t bytes) const override { return bytes <= room; }
     bool is_open(const std::string& id) const override { return taken.count(id) > 0; }
     void resume(routing::RequestId) override { ++resumed; }
-    void withdraw(routing::RequestId id) override { withdrawn += int(open.erase(id)); }
+    void withdraw(routing::RequestId id, Departure) override { withdrawn += int(open.erase(id)); }
     void answer(routing::RequestId id, const routing::Item& item) {
         auto it = open.find(id);
         if (it == open.end()) return;
