Soak test: random overlapping faults over real processes, judged by invariants

What it found and is mended here: a process ended with status 1 when socket() failed for a moment at its start (Listener::open_patiently); a request read after its client had closed behind it, while the process was stopped, is looked at before its first byte (Responder::present). Faults of the test's own: processes inherited the test's connections, so that closes were not seen (also in the older process tests); resets by the stand-in were not in its record.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 # The module and what came with it keep their own layout.
 OWN_SOURCES = $(filter-out src/brain.cpp src/wire/% tests/brain_test.cpp tests/wire_test.cpp tests/link_example.cpp, $(SOURCES))
 
-.PHONY: acceptance-sites setup build test sanitize bench site-table crowding torture fuzz lint format run clean
+.PHONY: acceptance-sites setup build test sanitize soak bench site-table crowding torture fuzz lint format run clean
 
 # Installs every package that packages.txt lists.
 setup:
@@ -26,6 +26,14 @@
 	cmake --build build-sanitize -j$(JOBS)
 	tools/run-tests build-sanitize --timeout 420 -j$(JOBS)
 
+# Random, overlapping faults over real processes, judged by the invariants of tests/processes/soak_record.hpp.
+# SOAK_SEED=1 SOAK_SEEDS=5 SOAK_POOLERS=24 SOAK_MS=20000; the machine should have little else to do.
+soak:
+	cmake -S . -B build-test -DCMAKE_BUILD_TYPE=Release -DSTARLINGPOND_TESTS=ON -DSTARLINGPOND_STRICT=ON
+	cmake --build build-test -j$(JOBS) --target soak_processes
+	SOAK_SEEDS=$${SOAK_SEEDS:-5} SOAK_POOLERS=$${SOAK_POOLERS:-24} SOAK_MS=$${SOAK_MS:-20000} \
+	    SOAK_SLACK_MS=$${SOAK_SLACK_MS:-0} build-test/tests/soak_processes
+
 # Prints what each part costs; the machine should have nothing else to do.
 bench:
 	cmake -S . -B build-bench -DCMAKE_BUILD_TYPE=Release -DINDIGOVANE_BENCH=ON
--- a/src/adapters/link_base.hpp
+++ b/src/adapters/link_base.hpp
@@ -2,11 +2,11 @@
 #pragma once
 
 #include <boost/asio/post.hpp>
-#include <boost/system/error_code.hpp>
 
 #include "routing/interfaces.hpp"
 #include "transport/connection.hpp"
 #include "transport/endpoint.hpp"
+#include "transport/shortage.hpp"
 
 namespace indigovane::adapters {
 
@@ -40,14 +40,7 @@
 
     void on_closed(const transport::error_code& ec) override {
         auto self = shared_from_this();
-        end(state_ == State::starting && is_local(ec) ? End::unopened : broken());
-    }
-    // Out of descriptors, ports or memory here (socket(2), connect(2)).
-    static bool is_local(const transport::error_code& ec) {
-        namespace errc = boost::system::errc;
-        return ec == errc::too_many_files_open || ec == errc::too_many_files_open_in_system ||
-               ec == errc::no_buffer_space || ec == errc::not_enough_memory ||
-               ec == errc::address_not_available;
+        end(state_ == State::starting && transport::is_shortage(ec) ? End::unopened : broken());
     }
     // What a break at this moment says of the job.
     virtual End broken() const {
--- a/src/routing/core.cpp
+++ b/src/routing/core.cpp
@@ -10,8 +10,6 @@
 namespace {
 constexpr Duration kTellEvery = std::chrono::seconds(5);  // the ledger
 constexpr Duration kAtOnce = milliseconds(5);
-// A client's end that came while its request waited may be unread yet; a fresh request's client is there.
-constexpr Duration kPresenceChecked = milliseconds(40);
 // Closed this long before the member would: a request that crosses its closing could have run.
 constexpr double kIdleShare = 0.8;
 constexpr Duration kHearsayKept = std::chrono::seconds(5);  // older news of a primary is none
@@ -484,7 +482,8 @@
     Time now = clock_.now();
     if (!m || m->refused_new || now >= job.until || now > job.start) return nullptr;
     Entry& entry = it->second;
-    if (now - entry.arrived > kPresenceChecked && !entry.responder->present()) return nullptr;
+    // Its client's end may stand unread behind the request: the loop was held up, or reads no further.
+    if (!entry.responder->present()) return nullptr;
     std::span<const Attempt> earlier(entry.attempts.data(), job.number);
     if (auto broken = RequestGuard::against_attempt(entry.rule, earlier, m->info.zone, m->info.group, now)) {
         guard_.violated(*broken, entry.item, entry.attempts);
--- a/src/transport/listener.cpp
+++ b/src/transport/listener.cpp
@@ -3,10 +3,13 @@
 #include <boost/asio/coroutine.hpp>
 #include <boost/asio/yield.hpp>
 
+#include "transport/shortage.hpp"
+
 namespace indigovane::transport {
 
 namespace {
 constexpr auto kRetryAfter = std::chrono::milliseconds(20);
+constexpr auto kOpenWithin = std::chrono::seconds(5);
 constexpr int kAtOnce = 16;  // connections accepted in one go
 
 // One connection has ended before it was accepted, or the call was interrupted: others may stand behind it
@@ -63,7 +66,7 @@
         make_nonblocking();
         return;
     }
-    acceptor_.open(at.protocol());
+    open_patiently(at);
     acceptor_.set_option(asio::socket_base::reuse_address(true));
     if (where.shared)
         acceptor_.set_option(asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>(true));
@@ -72,6 +75,19 @@
     make_nonblocking();
 }
 
+// A machine that is short of descriptors or memory for a moment fails no start. Nothing else runs yet that
+// this could hold up.
+void Listener::open_patiently(const Endpoint& at) {
+    auto give_up = std::chrono::steady_clock::now() + kOpenWithin;
+    error_code ec;
+    for (;;) {
+        acceptor_.open(at.protocol(), ec);
+        if (!ec || !is_shortage(ec) || std::chrono::steady_clock::now() > give_up) break;
+        wait_out_shortage(kRetryAfter);
+    }
+    if (ec) throw boost::system::system_error(ec, "socket");
+}
+
 // Without the option a blocking wait follows a connection that was aborted.
 void Listener::make_nonblocking() {
     acceptor_.non_blocking(true);
--- a/src/transport/listener.hpp
+++ b/src/transport/listener.hpp
@@ -34,6 +34,7 @@
 
   private:
     struct Accept;
+    void open_patiently(const Endpoint& at);
     void make_nonblocking();
     error_code accept_some();
 
--- a/tests/processes/harness.hpp
+++ b/tests/processes/harness.hpp
@@ -34,6 +34,8 @@
         posix_spawn_file_actions_init(&actions);
         posix_spawn_file_actions_addopen(&actions, 1, log_.c_str(), O_WRONLY | O_CREAT | O_TRUNC, 0600);
         posix_spawn_file_actions_adddup2(&actions, 1, 2);
+        // Else it would hold the test's own connections open after the test has closed them.
+        posix_spawn_file_actions_addclosefrom_np(&actions, 3);
         std::vector<char*> words{const_cast<char*>(PROGRAM)};
         for (const std::string& a : arguments) words.push_back(const_cast<char*>(a.c_str()));
         words.push_back(nullptr);
@@ -62,6 +64,13 @@
         pid_ = -1;
         return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
     }
+    // Like end(), of one that has ended by now; nothing while it has not. Waits for nothing.
+    std::optional<int> poll_end() {
+        int status = 0;
+        if (pid_ <= 0 || ::waitpid(pid_, &status, WNOHANG) != pid_) return std::nullopt;
+        pid_ = -1;
+        return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+    }
     std::string log() const {
         std::ifstream in(log_);
         std::ostringstream text;
--- /dev/null
+++ b/tests/processes/soak_host.hpp
@@ -0,0 +1,226 @@
+// A host of a soak run: a primary or a replica of one group that executes, lags, refuses, breaks and lies as
+// its script of the moment says, and records what it did.
+#pragma once
+
+#include "processes/soak_record.hpp"
+#include "support/harness.hpp"
+
+namespace indigovane::testing {
+
+// Commits of one group's primary, by key.
+struct SoakStore {
+    struct Commit {
+        std::int64_t at_unix_ms;
+        std::string content;
+    };
+    std::map<std::string, std::vector<Commit>> commits;
+    std::map<std::string, std::string> by_idempotency_key;
+    int index(const std::string& key, std::int64_t position_unix_ms) const {
+        auto it = commits.find(key);
+        int newest = -1;
+        if (it == commits.end()) return newest;
+        for (std::size_t i = 0; i < it->second.size(); ++i)
+            if (it->second[i].at_unix_ms <= position_unix_ms) newest = int(i);
+        return newest;
+    }
+};
+
+// What befalls statements at a host; several at once. Shares are of the statements.
+struct SoakTrouble {
+    bool hangs = false;           // takes statements and answers none
+    bool down = false;            // resets whatever comes
+    bool closes_idle = false;     // after each answer
+    Millis slow{0};               // more than usual
+    Millis lag{0};                // of a replica
+    double refuses = 0;           // 53300 before anything is executed
+    double takes_back = 0;        // the row, then a refusal
+    double resets_before = 0;     // executed, then reset without an answer
+    double resets_within = 0;     // ... after half of the answer
+    double stops_within = 0;      // half of the answer, then silence
+    double garbage = 0;           // executed, an answer of the wrong form
+    double closes_at_answer = 0;  // the answer, and the end in the same moment
+    double errs = 0;              // XX000
+};
+
+class SoakHost : public StandIn {
+  public:
+    SoakHost(Loop& loop, Host& base, SoakRecord& record, SoakStore& store, std::size_t number,
+             std::uint64_t seed)
+        : StandIn(loop, base), record_(record), store_(store), number_(number), random_(seed) {}
+
+    // All connections are reset.
+    void reset_every_connection() {
+        auto now = std::chrono::steady_clock::now();
+        for (const auto& [peer, what] : asked_) record_.attempt_closed(what.first, what.second, now);
+        asked_.clear();
+        reset_all();
+    }
+
+    SoakTrouble trouble;
+    int executed = 0;
+
+  protected:
+    struct Work {
+        std::string id, body;
+        std::size_t attempt;
+        std::weak_ptr<transport::Connection> connection;
+    };
+
+    bool take(Peer& peer, transport::Buffer& in, std::string& out) override {
+        pg::Message m;
+        std::size_t length = 0;
+        auto next = peer.started ? pg::next_message(in.view(), 1 << 20, m, length)
+                                 : pg::next_startup(in.view(), 10000, m, length);
+        if (next != pg::Next::message) return false;
+        std::string body(m.body.substr(0, m.body.find('\0')));
+        in.consume(length);
+        if (trouble.down) {
+            reset(*peer.connection);
+            return false;
+        }
+        if (!std::exchange(peer.started, true)) {
+            out += pg::Writer().authentication_ok().ready().take();
+            return true;
+        }
+        if (body == "SHOW health") {
+            if (!trouble.hangs) out += health();
+            return true;
+        }
+        begin(peer, body);
+        return true;
+    }
+    void left(Peer& peer) override {
+        auto it = asked_.find(&peer);
+        if (it == asked_.end()) return;
+        record_.attempt_closed(it->second.first, it->second.second, std::chrono::steady_clock::now());
+        asked_.erase(it);
+    }
+
+  private:
+    std::int64_t now_unix_ms() const { return host_.clock.to_unix(host_.clock.now()) / 1000; }
+    std::int64_t position() const { return now_unix_ms() - (host_.primary ? 0 : trouble.lag.count()); }
+    bool draw(double share) { return share > 0 && double(random_() % 100000) < share * 100000; }
+
+    static void reset(transport::Connection& connection) {
+        int fd = connection.release();
+        if (fd < 0) return connection.close();
+        linger none{1, 0};
+        ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &none, sizeof none);
+        ::close(fd);
+    }
+
+    void reset(const Work& work, transport::Connection& connection) {
+        record_.attempt_closed(work.id, work.attempt, std::chrono::steady_clock::now());
+        reset(connection);
+    }
+
+    std::string health() const {
+        std::string p = std::to_string(position());
+        std::string report = "x0=" + p.substr(0, p.size() - 3) + "." + p.substr(p.size() - 3) +
+                             ",x1=" + (host_.primary ? "1" : "0") + ",inflight=0";
+        return pg::Writer()
+            .row_description({{"health", 25, false}})
+            .data_row({report})
+            .complete("SHOW")
+            .ready()
+            .take();
+    }
+
+    void begin(Peer& peer, const std::string& body) {
+        pg::Statement statement = pg::read_statement(body);
+        std::string id(statement.field("id").value_or(""));
+        Millis told(std::atoi(std::string(statement.field("d").value_or("0")).c_str()));
+        std::size_t attempt = record_.asked(id, number_, told, std::chrono::steady_clock::now());
+        asked_[&peer] = {id, attempt};
+        if (trouble.hangs) return;
+        auto timer =
+            std::make_shared<boost::asio::steady_timer>(loop_.io, Millis(1 + random_() % 12) + trouble.slow);
+        Work work{id, body, attempt, peer.connection};
+        timer->async_wait([this, timer, work](const boost::system::error_code& ec) {
+            if (!ec) finish(work);
+        });
+    }
+
+    void finish(const Work& work) {
+        auto connection = work.connection.lock();
+        // A statement whose connection is closed may be dropped or may run.
+        if (!connection || !connection->open()) {
+            if (random_() % 2) execute(work);
+            return;
+        }
+        if (draw(trouble.refuses)) return turn_away(work, *connection, "53300");
+        if (draw(trouble.errs)) return answer(work, *connection, error("XX000"));
+        pg::Statement statement = pg::read_statement(work.body);
+        pg::Verb verb = pg::read_verb(statement.body);
+        if (verb.content && !host_.primary) return turn_away(work, *connection, "25006");
+        // Hosts check session reads for themselves, but hear of a commit 100 ms late.
+        if (!verb.content && statement.field("c") == "own" &&
+            store_.index(verb.name, position()) < store_.index(verb.name, now_unix_ms() - 100))
+            return turn_away(work, *connection, "72000");
+        deliver(work, *connection, execute(work));
+    }
+
+    void deliver(const Work& work, transport::Connection& connection, std::string bytes) {
+        if (draw(trouble.resets_before)) return reset(work, connection);
+        if (draw(trouble.garbage)) return answer(work, connection, pg::Writer().complete("SELECT 7").take());
+        if (draw(trouble.resets_within)) {
+            connection.write(bytes.substr(0, bytes.size() / 2));
+            return reset(work, connection);
+        }
+        if (draw(trouble.stops_within)) return connection.write(bytes.substr(0, bytes.size() / 2));
+        if (draw(trouble.takes_back)) {
+            pg::Writer w;
+            w.row_description({{"content", 17, true}}).data_row({"taken back"});
+            w.error("ERROR", random_() % 2 ? "53300" : "57P03", "after the row");
+            return answer(work, connection, w.ready().take());
+        }
+        answer(work, connection, std::move(bytes));
+        if (draw(trouble.closes_at_answer) || trouble.closes_idle)
+            connection.close_after_writing(transport::Connection::Crossing::unread);
+    }
+
+    static std::string error(const char* code) {
+        return pg::Writer().error("ERROR", code, "as scripted").ready().take();
+    }
+    void answer(const Work& work, transport::Connection& connection, std::string bytes) {
+        record_.ended(work.id, work.attempt);
+        connection.write(std::move(bytes));
+    }
+    void turn_away(const Work& work, transport::Connection& connection, const char* code) {
+        record_.executed(work.id, work.attempt, Executed::never);
+        answer(work, connection, error(code));
+    }
+
+    // Runs the statement; its answer.
+    std::string execute(const Work& work) {
+        pg::Statement statement = pg::read_statement(work.body);
+        pg::Verb verb = pg::read_verb(statement.body);
+        record_.executed(work.id, work.attempt, Executed::yes);
+        ++executed;
+        std::int64_t told = position();
+        std::string content;
+        if (verb.content) {
+            content = pg::unhex(*verb.content).value_or(*verb.content);
+            std::string key(statement.field("k").value_or(""));
+            if (key.empty() || store_.by_idempotency_key.emplace(key, work.id).second) {
+                told = now_unix_ms() + 1;
+                store_.commits[verb.name].push_back({told, content});
+            }
+        } else if (int i = store_.index(verb.name, told); i >= 0) {
+            content = store_.commits[verb.name][std::size_t(i)].content;
+        }
+        pg::Writer w;
+        w.row_description({{"content", 17, true}}).data_row({content});
+        w.complete(verb.content ? "INSERT 0 1" : "SELECT 1");
+        w.parameter("recovery", host_.primary ? "off" : "on").parameter("lsn_ms", std::to_string(told));
+        return w.ready().take();
+    }
+
+    SoakRecord& record_;
+    SoakStore& store_;
+    std::size_t number_;
+    std::mt19937_64 random_;
+    std::map<Peer*, std::pair<std::string, std::size_t>> asked_;
+};
+
+}  // namespace indigovane::testing
