--- a/src/adapters/session.cpp
+++ b/src/adapters/session.cpp
@@ -28,7 +28,7 @@
 }
 
 bool Session::between_requests() {
-    return state_ == State::between && !connection_->readable() && connection_->all_written();
+    return state_ == State::between && !connection_->readable() && connection_->delivered();
 }
 
 std::string Session::peer() const {
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -1,6 +1,8 @@
 #include "transport/connection.hpp"
 
+#include <linux/sockios.h>
 #include <poll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -239,6 +241,12 @@
     return !ec;
 }
 
+bool Connection::delivered() {
+    int unacknowledged = 0;
+    if (!all_written()) return false;
+    return ::ioctl(socket_.native_handle(), SIOCOUTQ, &unacknowledged) != 0 || unacknowledged == 0;
+}
+
 void Connection::write(std::string bytes) {
     if (state_ == State::closed || close_when_written_) return;
     if (out_.empty())
--- a/src/transport/connection.hpp
+++ b/src/transport/connection.hpp
@@ -51,6 +51,9 @@
     void write(std::string bytes);
     // The kernel has taken all that was queued, so that the other side may have it.
     bool all_written() const { return out_.empty() && writing_.empty(); }
+    // The other side's kernel has all of it, too: closing here can cut nothing off. True where that can't be
+    // told.
+    bool delivered();
     std::size_t unwritten() const { return out_.size() + writing_.size() - written_; }
 
     std::uint64_t sent() const { return sent_; }  // bytes that the kernel has taken
