Review, case 3: a 64 KiB value that dribbles in leaves its request unanswered

Change: review/3, a host some of whose answers go on byte by byte; a row of over 64 KiB is passed on in pieces, and then no deadline of the request holds any more.

--- /dev/null
+++ b/review/3/case.cpp
@@ -0,0 +1,97 @@
+// Values of up to 64 KiB; one of four hosts spoils some of its answers: they dribble on and do not end.
+#include "../common/linge_host.hpp"
+#include "../common/settings.hpp"
+
+using namespace lab;
+
+namespace {
+
+constexpr int kGroup = 3;
+constexpr double kRunMs = 30000;
+constexpr double kPauseMs = 40;  // between a client's requests
+constexpr int kClients = 8;
+constexpr double kLateMs = 500 + 50;  // after its time an answer only earns nothing; limits are 50 ms longer
+constexpr double kJudgeSlackMs = 50;  // for this machine's scheduling
+constexpr double kClientPatienceMs = 30000;
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    if (argc < 3) cannot_run("usage: case RUN FOLDER");
+    std::string folder = argv[2];
+    Record record(folder + "/record.txt");
+    bool trouble = with_trouble();
+    std::vector<std::unique_ptr<LingeHost>> hosts;
+    Discovery discovery;
+    for (int i = 0; i < 4; ++i) {
+        auto host = std::make_unique<LingeHost>();
+        host->uid = "s-" + std::to_string(i);
+        host->primary = i == 0;
+        if (trouble && i == 1) host->spoils = LingeHost::Spoils::dribbles;
+        host->has_large_values = true;
+        host->never_ends_for_ms = 60000;
+        host->record = &record;
+        host->start();
+        discovery.set(host->uid,
+                      entry(host->uid, host->listener->address(), "rennes-nord", kGroup, "ready", i == 0));
+        hosts.push_back(std::move(host));
+    }
+    int port = free_port();
+    Pooler pooler(
+        argv[1], new_folder(), "n1",
+        pooler_config("n1", port, discovery.listener.address(), discovery.list(), linge_settings(1)));
+    pooler.start();
+    pooler.await_ready(port);
+
+    std::mutex mutex;
+    std::map<std::string, int> kinds;
+    int lost = 0;
+    double worst = 0;
+    std::atomic<int> next{0};
+    std::vector<std::thread> threads;
+    double end = now_ms() + kRunMs;
+    for (int c = 0; c < kClients; ++c)
+        threads.emplace_back([&, c] {
+            std::mt19937_64 random(std::uint64_t(c) + 1);
+            auto client = std::make_unique<Client>(port);
+            while (now_ms() < end) {
+                if (!client->is_open()) client = std::make_unique<Client>(port);
+                std::string id = hex_id(random());
+                std::size_t size = size_of_value(id);
+                double d = 800;  // a try is given up after 40 to 100% of 1 s
+                std::string sql = "/* id=" + id + ",c=stock-view,t=lavage-rance,d=" + std::to_string(int(d)) +
+                                  ",cluster=3 */ SELECT content FROM kv WHERE name = '" + hex_id(random()) +
+                                  "'";
+                double sent = now_ms();
+                client->send(sql);
+                Reply reply = client->read_reply(sent + kClientPatienceMs);
+                double took = reply.at - sent;
+                bool is_whole = reply.kind != "served" || reply.value.size() == size;
+                bool is_lost = took > d + kLateMs + kJudgeSlackMs || !is_whole;
+                record.line("client %d %s d=%.0f value=%zu: %s after %.0f ms%s", c, id.c_str(), d, size,
+                            reply.kind.c_str(), took, is_lost ? "  LOST" : "");
+                if (reply.kind == "silent") client->close();
+                {
+                    std::lock_guard lock(mutex);
+                    ++next;
+                    ++kinds[reply.kind];
+                    lost += is_lost;
+                    worst = std::max(worst, took - d);
+                }
+                sleep_ms(kPauseMs);
+            }
+        });
+    for (auto& thread : threads) thread.join();
+    bool crashed = !pooler.is_running();
+    pooler.end(SIGTERM);
+    std::string counts;
+    for (auto& [kind, count] : kinds) counts += " " + kind + "=" + std::to_string(count);
+    record.line(
+        "%d requests,%s; %d spoilt answers; %d without a final answer in time, the worst %.0f ms after its "
+        "time%s",
+        next.load(), counts.c_str(), hosts[1]->spoilt.load(), lost, worst,
+        crashed ? "; the pooler crashed" : "");
+    std::printf("%d requests,%s; spoilt answers %d; lost %d; worst %.0f ms after its time\n", next.load(),
+                counts.c_str(), hosts[1]->spoilt.load(), lost, worst);
+    finish(crashed || lost > 0 ? 1 : 0);
+}
--- a/review/common/lab.hpp
+++ b/review/common/lab.hpp
@@ -331,7 +331,8 @@
 
 class Client {
   public:
-    explicit Client(int port) {
+    // `asks_at_once`: the first query follows the startup message without a wait for the greeting.
+    explicit Client(int port, bool asks_at_once = false) {
         int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         sockaddr_in at = loopback(port);
         if (::connect(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) != 0) {
@@ -340,12 +341,16 @@
         }
         socket_ = std::make_unique<Socket>(fd);
         socket_->send(pg::startup());
-        is_open_ = read_reply(now_ms() + 3000).kind != "cut";
+        is_open_ = asks_at_once || read_reply(now_ms() + 3000).kind != "cut";
     }
     bool is_open() const { return is_open_; }
     bool send(const std::string& sql) { return socket_ && socket_->send(pg::query(sql)); }
-    Reply ask(const std::string& sql, double until) {
+    Reply ask(const std::string& sql, double until, bool after_greeting = false) {
         send(sql);
+        if (after_greeting) {
+            Reply greeting = read_reply(until);
+            if (greeting.kind != "ready") return greeting;
+        }
         return read_reply(until);
     }
     // Reads messages up to ReadyForQuery.
--- a/review/common/linge_host.hpp
+++ b/review/common/linge_host.hpp
@@ -14,9 +14,9 @@
 struct LingeHost {
     std::string uid;
     bool primary = false, has_large_values = false;
-    // How it spoils every tenth answer from `spoils_from` on: the answer stops inside the value, or notices
-    // follow each other without an end.
-    enum class Spoils { nothing, stops, never_ends } spoils = Spoils::nothing;
+    // How it spoils every tenth answer from `spoils_from` on: after half of the answer its bytes come one at
+    // a time, ten in a second, or notices follow each other without an end.
+    enum class Spoils { nothing, dribbles, never_ends } spoils = Spoils::nothing;
     std::atomic<double> spoils_from{0};
     double never_ends_for_ms = 30000;
     Record* record = nullptr;
@@ -72,12 +72,15 @@
         if (spoils != Spoils::nothing && now_ms() >= spoils_from && ++answers % 10 == 0) {
             ++spoilt;
             record->line("host %s spoils the answer to %s: it %s", uid.c_str(), id.c_str(),
-                         spoils == Spoils::stops ? "stops half-way" : "never ends");
+                         spoils == Spoils::dribbles ? "dribbles from its half on" : "never ends");
             double end = now_ms() + never_ends_for_ms;
             std::size_t sent = 0;
-            if (spoils == Spoils::stops) {
-                socket.send(answer.substr(0, answer.size() / 2));
-                for (; now_ms() < end && !socket.at_end(); sleep_ms(20)) {
+            if (spoils == Spoils::dribbles) {
+                sent = answer.size() / 2;
+                socket.send(answer.substr(0, sent));
+                for (; now_ms() < end && sent < answer.size() && !socket.at_end(); sleep_ms(100)) {
+                    if (!socket.send(answer.substr(sent, 1))) break;
+                    ++sent;
                 }
             } else {
                 std::string notices;
