--- a/review/common/linge_host.hpp
+++ b/review/common/linge_host.hpp
@@ -1,22 +1,16 @@
 // A stand-in database host of the first operator's kind: it welcomes everyone at once, answers `SHOW health`,
-// runs a statement for 50 ms and answers it with a value whose size follows from the request's id.
+// runs a statement for 50 ms and answers it with a value of 1,024 bytes.
 #pragma once
 
 #include "lab.hpp"
 
 namespace lab {
 
-constexpr std::size_t kSizes[] = {1024, 16384, 49152, 65536};
-inline std::size_t size_of_value(const std::string& id) {
-    return kSizes[std::stoul(id.substr(0, 2), nullptr, 16) % 4];
-}
-
 struct LingeHost {
     std::string uid;
-    bool primary = false, has_large_values = false;
-    // How it spoils every tenth answer from `spoils_from` on: after half of the answer its bytes come one at
-    // a time, ten in a second, or notices follow each other without an end.
-    enum class Spoils { nothing, dribbles, never_ends } spoils = Spoils::nothing;
+    bool primary = false;
+    // How it spoils every tenth answer from `spoils_from` on: notices follow each other without an end.
+    enum class Spoils { nothing, never_ends } spoils = Spoils::nothing;
     std::atomic<double> spoils_from{0};
     double never_ends_for_ms = 30000;
     Record* record = nullptr;
@@ -65,32 +59,20 @@
         record->line("host %s runs %s", uid.c_str(), id.c_str());
         sleep_ms(50);
         if (socket.at_end()) return false;  // called off
-        std::size_t size = has_large_values ? size_of_value(id) : 1024;
-        std::string answer = pg::columns("content", 17, true) + pg::row(std::string(size, 'v')) +
+        std::string answer = pg::columns("content", 17, true) + pg::row(std::string(1024, 'v')) +
                              pg::complete(is_write(sql) ? "INSERT 0 1" : "SELECT 1") + state(position) +
                              pg::ready();
         if (spoils != Spoils::nothing && now_ms() >= spoils_from && ++answers % 10 == 0) {
             ++spoilt;
-            record->line("host %s spoils the answer to %s: it %s", uid.c_str(), id.c_str(),
-                         spoils == Spoils::dribbles ? "dribbles from its half on" : "never ends");
+            record->line("host %s spoils the answer to %s: it never ends", uid.c_str(), id.c_str());
             double end = now_ms() + never_ends_for_ms;
             std::size_t sent = 0;
-            if (spoils == Spoils::dribbles) {
-                sent = answer.size() / 2;
-                socket.send(answer.substr(0, sent));
-                for (; now_ms() < end && sent < answer.size() && !socket.at_end(); sleep_ms(100)) {
-                    if (!socket.send(answer.substr(sent, 1))) break;
-                    ++sent;
-                }
-            } else {
-                std::string notices;
-                std::string notice =
-                    pg::message('N', "S" + pg::zero("NOTICE") + "C" + pg::zero("00000") + "M" +
-                                         pg::zero("still at it") + std::string(1, '\0'));
-                while (notices.size() < 100000) notices += notice;
-                socket.send(pg::columns("content", 17, true));
-                while (now_ms() < end && socket.send(notices)) sent += notices.size();
-            }
+            std::string notices;
+            std::string notice = pg::message('N', "S" + pg::zero("NOTICE") + "C" + pg::zero("00000") + "M" +
+                                                      pg::zero("still at it") + std::string(1, '\0'));
+            while (notices.size() < 100000) notices += notice;
+            socket.send(pg::columns("content", 17, true));
+            while (now_ms() < end && socket.send(notices)) sent += notices.size();
             record->line("host %s: the connection of the spoilt answer to %s ended, %zu bytes", uid.c_str(),
                          id.c_str(), sent);
             return false;
