--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -28,7 +28,7 @@
         host->uid = "s-" + std::to_string(i);
         host->primary = i == 0;
         host->record = &record;
-        if (trouble && i == 1) host->spoils = LingeHost::Spoils::never_ends;
+        if (trouble && i == 1) host->spoils = true;
         host->spoils_from = now_ms() + kSpoiltFromMs;
         host->never_ends_for_ms = 10000;
         host->start();
--- a/review/common/linge_host.hpp
+++ b/review/common/linge_host.hpp
@@ -1,20 +1,29 @@
 // A stand-in database host of the first operator's kind: it welcomes everyone at once, answers `SHOW health`,
-// runs a statement for 50 ms and answers it with a value of 1,024 bytes.
+// runs a statement for 50 ms and answers it with a value, whose size follows from the request's id or is
+// 1,024 bytes.
 #pragma once
 
 #include "lab.hpp"
 
 namespace lab {
 
+constexpr std::size_t kSizes[] = {1024, 16384, 49152, 65536};
+inline std::size_t size_of_value(const std::string& id) {
+    return kSizes[std::stoul(id.substr(0, 2), nullptr, 16) % 4];
+}
+
 struct LingeHost {
     std::string uid;
     bool primary = false;
-    // How it spoils every tenth answer from `spoils_from` on: notices follow each other without an end.
-    enum class Spoils { nothing, never_ends } spoils = Spoils::nothing;
+    bool has_large_values = false;
+    // Every tenth answer comes in two pieces, with `pause_ms` between the value and the answer's end.
+    double pause_ms = 0;
+    // Spoils every tenth answer from `spoils_from` on: notices follow each other without an end.
+    bool spoils = false;
     std::atomic<double> spoils_from{0};
     double never_ends_for_ms = 30000;
     Record* record = nullptr;
-    std::atomic<int> answers{0}, spoilt{0};
+    std::atomic<int> answers{0}, spoilt{0}, paused{0};
     std::unique_ptr<Listener> listener;
 
     void serve(Socket& socket) {
@@ -59,10 +68,26 @@
         record->line("host %s runs %s", uid.c_str(), id.c_str());
         sleep_ms(50);
         if (socket.at_end()) return false;  // called off
-        std::string answer = pg::columns("content", 17, true) + pg::row(std::string(1024, 'v')) +
-                             pg::complete(is_write(sql) ? "INSERT 0 1" : "SELECT 1") + state(position) +
-                             pg::ready();
-        if (spoils != Spoils::nothing && now_ms() >= spoils_from && ++answers % 10 == 0) {
+        std::size_t size = has_large_values ? size_of_value(id) : 1024;
+        std::string value = pg::columns("content", 17, true) + pg::row(std::string(size, 'v'));
+        std::string rest =
+            pg::complete(is_write(sql) ? "INSERT 0 1" : "SELECT 1") + state(position) + pg::ready();
+        if (pause_ms > 0 && ++answers % 10 == 0) {
+            ++paused;
+            record->line("host %s has sent the value of %zu bytes of %s, the end follows in %.0f ms",
+                         uid.c_str(), size, id.c_str(), pause_ms);
+            socket.send(value);
+            double begin = now_ms();
+            while (now_ms() < begin + pause_ms) {
+                sleep_ms(5);
+                if (!socket.at_end()) continue;
+                record->line("host %s: the pooler has closed the connection of %s %.0f ms after the value",
+                             uid.c_str(), id.c_str(), now_ms() - begin);
+                return false;
+            }
+            return socket.send(rest);
+        }
+        if (spoils && now_ms() >= spoils_from && ++answers % 10 == 0) {
             ++spoilt;
             record->line("host %s spoils the answer to %s: it never ends", uid.c_str(), id.c_str());
             double end = now_ms() + never_ends_for_ms;
@@ -77,7 +102,7 @@
                          id.c_str(), sent);
             return false;
         }
-        return socket.send(answer);
+        return socket.send(value + rest);
     }
     void start() {
         listener = std::make_unique<Listener>([this](auto socket) { serve(*socket); });
