Log turns of the event loop that take long, with their handlers

Change: transport::LoopTurn runs a turn of the loop as before (until no handler is ready) and measures it; Lifecycle logs one that takes over 50 ms (message id 'loop': turn_ms, handlers, longest_handler_ms).

--- a/src/program/lifecycle.cpp
+++ b/src/program/lifecycle.cpp
@@ -11,6 +11,12 @@
 namespace {
 // A successor waits at most this long for the discovery service's list. Then it serves with the list it has.
 constexpr auto kListTimeout = std::chrono::seconds(3);
+// A turn of the event loop that takes longer than this is reported.
+constexpr auto kLongTurn = std::chrono::milliseconds(50);
+
+std::string milliseconds_text(transport::LoopTurn::Duration time) {
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(time).count());
+}
 }  // namespace
 
 Lifecycle::Lifecycle(const Config& config, ConfigReader read_config, Log& log)
@@ -51,9 +57,9 @@
 
 int Lifecycle::run() {
     start();
+    transport::LoopTurn& turn = transport::LoopTurn::of(services_.io);
     while (!services_.phases.is(Phase::stopped)) {
-        services_.io.run_one();
-        services_.io.poll();
+        report_if_long(turn.run(services_.io));
         services_.core->run_batch();
         if (services_.persistent_state) services_.persistent_state->flush();
         advance_phase();
@@ -62,6 +68,15 @@
     return 0;
 }
 
+// Deadlines take effect between turns, so a long turn delays all of them.
+void Lifecycle::report_if_long(const transport::LoopTurn::Report& turn) {
+    if (turn.time < kLongTurn) return;
+    services_.log.log(Level::warning, "loop", "a turn of the event loop took long",
+                      {{"turn_ms", milliseconds_text(turn.time)},
+                       {"handlers", std::to_string(turn.handlers)},
+                       {"longest_handler_ms", milliseconds_text(turn.longest_handler)}});
+}
+
 void Lifecycle::advance_phase() {
     if (services_.phases.is(Phase::inheriting) && may_serve()) serve();
     if (services_.phases.is(Phase::reloading) && services_.discovery_client->has_complete_list())
--- a/src/program/lifecycle.hpp
+++ b/src/program/lifecycle.hpp
@@ -16,6 +16,7 @@
 #include "program/reload.hpp"
 #include "program/services.hpp"
 #include "program/state_sync.hpp"
+#include "transport/loop_turn.hpp"
 
 namespace indigovane::program {
 
@@ -41,6 +42,7 @@
     bool may_serve() const;
     void serve();
     void advance_phase();
+    void report_if_long(const transport::LoopTurn::Report& turn);
 
     Services services_;
     ConfigReader read_config_;
