Bound the turns of the event loop, so that a peer that never pauses stops no one else

Cause: a turn of the loop ran until no handler was ready. A connection whose bytes arrive as fast as they are read always has one, so the core's batch (decisions, deadlines) was not reached.

A connection that yields reads nothing until its bytes are handled, so that an end of stream is never seen before the bytes that precede it. Listener::drain accepts no more than the kernel's queue holds.

--- a/Makefile
+++ b/Makefile
@@ -34,10 +34,11 @@
 # Prints what each part costs; the machine should have nothing else to do.
 bench:
 	cmake -S . -B build-bench -DCMAKE_BUILD_TYPE=Release -DINDIGOVANE_BENCH=ON
-	cmake --build build-bench -j$(JOBS) --target policy_bench statement_bench added_bench site_bench store_bench
+	cmake --build build-bench -j$(JOBS) --target policy_bench statement_bench added_bench loop_bench site_bench store_bench
 	build-bench/bench/policy_bench
 	build-bench/bench/statement_bench
 	build-bench/bench/added_bench
+	build-bench/bench/loop_bench
 	build-bench/bench/site_bench
 	build-bench/bench/store_bench
 
--- a/src/adapters/pg_backend.cpp
+++ b/src/adapters/pg_backend.cpp
@@ -25,6 +25,8 @@
 constexpr std::size_t kMaxRowBytes = (8 << 20) + 65536, kMaxOtherMessageBytes = 16 * 1024;
 // A row message longer than this is streamed to the client in pieces, if the request allows it.
 constexpr std::size_t kLongRowBytes = 64 * 1024;
+// The header of a row with one value: type, length, number of values, length of the value.
+constexpr std::size_t kLongRowHeaderBytes = 11;
 // Bytes of a long value that are read ahead while the client cannot take more.
 constexpr std::size_t kMaxUnreadLongValueBytes = 32 * 1024;
 // All rows of a page together, or all messages of a forwarded answer.
@@ -86,42 +88,52 @@
     void on_data(transport::Buffer& in) override {
         auto self = shared_from_this();  // the owner may release this connection in a callback
         input_ = &in;
-        while (owner_ && !in.empty() && !is_paused_) {
-            if (value_bytes_left_ > 0) {
-                std::size_t count = std::min(value_bytes_left_, in.size());
-                value_bytes_left_ -= count;
-                is_paused_ = !owner_->on_piece(*this, in.view().substr(0, count));
-                if (owner_) in.consume(count);
-                continue;
-            }
-            if (state_ == State::idle) return malformed("the host sent bytes while no request was in flight");
-            has_begun_ = true;
-            pg::Message message;
-            std::size_t length = 0;
-            const char type = in.view()[0];
-            if (!may_come(type)) return malformed("unexpected message type for this part of the answer");
-            if (type == 'D' && may_stream_value_ && is_long_row(in.view())) {
-                if (in.size() < 11) break;
-                if (const char* problem = begin_long_value(in)) return malformed(problem);
-                continue;
-            }
-            pg::Next next = pg::next_message(in.view(), type == 'D' ? kMaxRowBytes : kMaxOtherMessageBytes,
-                                             message, length);
-            if (next == pg::Next::more) {
-                if (type == 'D' && !row_may_fit(in.view()))
-                    return malformed("length of the row and length of its value do not match");
-                break;
-            }
-            if (next != pg::Next::message) return malformed("message length is invalid or over the limit");
-            const char* problem = process_message(message);
-            bool is_answer_over = type == 'Z' || (type == 'E' && !result_.reusable);
-            in.consume(length);
-            if (problem) return malformed(problem);
-            if (is_answer_over) finish_answer(in.empty());
-        }
+        while (owner_ && !in.empty() && !is_paused_ && process_next(in))
+            if (connection_->must_yield()) break;
         if (owner_ && state_ == State::awaiting_answer && has_begun_ && !is_paused_) restart_idle_timeout();
     }
 
+    // Processes the next message, or a piece of a long value. False: it is incomplete, or malformed, which
+    // ends the connection.
+    bool process_next(transport::Buffer& in) {
+        if (value_bytes_left_ > 0) return process_piece(in);
+        if (state_ == State::idle) return reject("the host sent bytes while no request was in flight");
+        has_begun_ = true;
+        const char type = in.view()[0];
+        if (!may_come(type)) return reject("unexpected message type for this part of the answer");
+        if (type == 'D' && may_stream_value_ && is_long_row(in.view())) {
+            if (in.size() < kLongRowHeaderBytes) return false;
+            const char* problem = begin_long_value(in);
+            return !problem || reject(problem);
+        }
+        pg::Message message;
+        std::size_t length = 0;
+        pg::Next next =
+            pg::next_message(in.view(), type == 'D' ? kMaxRowBytes : kMaxOtherMessageBytes, message, length);
+        if (next == pg::Next::more) {
+            bool fits = type != 'D' || row_may_fit(in.view());
+            return !fits && reject("length of the row and length of its value do not match");
+        }
+        if (next != pg::Next::message) return reject("message length is invalid or over the limit");
+        const char* problem = process_message(message);
+        bool is_answer_over = type == 'Z' || (type == 'E' && !result_.reusable);
+        in.consume(length);
+        if (problem) return reject(problem);
+        if (is_answer_over) finish_answer(in.empty());
+        return true;
+    }
+    bool process_piece(transport::Buffer& in) {
+        std::size_t count = std::min(value_bytes_left_, in.size());
+        value_bytes_left_ -= count;
+        is_paused_ = !owner_->on_piece(*this, in.view().substr(0, count));
+        if (owner_) in.consume(count);
+        return true;
+    }
+    bool reject(const char* why) {
+        malformed(why);
+        return false;
+    }
+
     void resume() override {
         if (!owner_ || !std::exchange(is_paused_, false)) return;
         auto self = shared_from_this();
@@ -140,7 +152,7 @@
         if (length + 1 > (result_.answer.binary ? kMaxRowBytes / 2 : kMaxRowBytes) || row_count_ > 0 ||
             in.view().substr(5, 2) != std::string_view("\0\1", 2) || !row_may_fit(in.view()))
             return "long row has invalid lengths or column count, or follows another row";
-        in.consume(11);
+        in.consume(kLongRowHeaderBytes);
         note_execution('D');
         ++row_count_;
         value_bytes_left_ = length - 10;
--- a/src/adapters/rest_backend.cpp
+++ b/src/adapters/rest_backend.cpp
@@ -99,8 +99,8 @@
 
     void on_data(transport::Buffer& in) override {
         auto self = shared_from_this();
-        while (owner_ && !in.empty())
-            if (!process_response(in, false)) return;
+        while (owner_ && !in.empty() && process_response(in, false))
+            if (connection_->must_yield()) return;
     }
 
     void on_closed(const transport::error_code& ec) override {
--- a/src/adapters/session.cpp
+++ b/src/adapters/session.cpp
@@ -90,12 +90,18 @@
     client_listener_.remove_session(self);
 }
 
+bool Session::may_process_message() const {
+    return input_ && !input_->empty() && state_ == State::idle &&
+           connection_->unwritten() <= limits_.unwritten_bytes;
+}
+
 void Session::process_input() {
     if (is_processing_) return;
     is_processing_ = true;
-    while (input_ && !input_->empty() && state_ == State::idle &&
-           connection_->unwritten() <= limits_.unwritten_bytes && process_next_message(*input_))
+    while (may_process_message() && process_next_message(*input_)) {
         has_progressed_ = has_received_message_ = true;
+        if (!input_->empty() && connection_->must_yield()) break;
+    }
     is_processing_ = false;
     // A session that serves a request is not closed: what is unread behind the request is bounded, and it is
     // checked again after the answer.
--- a/src/adapters/session.hpp
+++ b/src/adapters/session.hpp
@@ -122,6 +122,7 @@
     void on_closed(const transport::error_code& ec) override;
     bool is_client_present() override { return !connection_->hung_up(); }
     void end_with(routing::RequestAdmission::Departure departure);
+    bool may_process_message() const;
     void process_input();
     void update_timeout();
 
--- a/src/routing/discovery_client.cpp
+++ b/src/routing/discovery_client.cpp
@@ -130,6 +130,7 @@
         std::size_t length = 0;
         if (!read(in.view(), false, length)) return;
         if (connection_ == connection) in.consume(length);
+        if (connection->must_yield()) return;
     }
 }
 
--- a/src/transport/channel.cpp
+++ b/src/transport/channel.cpp
@@ -46,7 +46,7 @@
         reenter(this) {
             while (!ec) {
                 yield channel.socket_.async_wait(asio::posix::stream_descriptor::wait_read, Reader(*this));
-                while (!ec && channel.receive()) {
+                while (!ec && channel.receive() && channel.turn_.may_continue()) {
                 }
                 if (!channel.handler_) return;
             }
@@ -75,7 +75,10 @@
 };
 
 Channel::Channel(asio::io_context& io, Descriptor socket, Handler& handler)
-    : strand_(asio::make_strand(io)), socket_(strand_, socket.release()), handler_(&handler) {}
+    : strand_(asio::make_strand(io)),
+      turn_(LoopTurn::of(io)),
+      socket_(strand_, socket.release()),
+      handler_(&handler) {}
 
 std::shared_ptr<Channel> Channel::connect(asio::io_context& io, const std::string& folder,
                                           const std::string& name, Handler& handler) {
--- a/src/transport/channel.hpp
+++ b/src/transport/channel.hpp
@@ -78,6 +78,7 @@
     void fail();
 
     Strand strand_;
+    LoopTurn& turn_;
     asio::posix::stream_descriptor socket_;
     Handler* handler_;
     struct Message {
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -69,6 +69,7 @@
                 if (connection.handler_) connection.handler_->on_connected();
             }
             while (connection.state_ == State::open && !connection.close_when_written_) {
+                if (connection.is_delivery_scheduled_) break;  // deliver_unread() starts another reader
                 // Backpressure: resume() starts another reader.
                 if (connection.in_.size() >= connection.unread_limit_) {
                     connection.is_reading_ = false;
@@ -80,6 +81,7 @@
                 // the read is pending, and that moves the buffer's content.
                 yield connection.socket_.async_wait(asio::ip::tcp::socket::wait_read, Reader(*this));
                 if (connection.close_when_written_) return;
+                if (connection.is_delivery_scheduled_) break;
                 if (!ec) {
                     Buffer::Span free = connection.in_.prepare(connection.read_size_);
                     count = connection.socket_.read_some(asio::buffer(free.data, free.size), ec);
@@ -175,7 +177,7 @@
 };
 
 Connection::Connection(asio::io_context& io)
-    : strand_(asio::make_strand(io)), socket_(strand_), timer_(strand_) {}
+    : strand_(asio::make_strand(io)), turn_(LoopTurn::of(io)), socket_(strand_), timer_(strand_) {}
 
 void Connection::adopt(asio::ip::tcp::socket socket, Handler& handler, std::string_view read) {
     handler_ = &handler;
@@ -276,6 +278,22 @@
     asio::post(strand_, Reader(shared_from_this(), false));
 }
 
+bool Connection::must_yield() {
+    if (turn_.may_continue()) return false;
+    if (!std::exchange(is_delivery_scheduled_, true))
+        asio::post(strand_, [self = shared_from_this()] { self->deliver_unread(); });
+    return true;
+}
+
+void Connection::deliver_unread() {
+    is_delivery_scheduled_ = false;
+    if (state_ != State::open || !handler_) return;
+    handler_->on_data(in_);
+    if (state_ != State::open || is_reading_ || close_when_written_) return;
+    Reader reader(shared_from_this(), false);
+    reader();
+}
+
 void Connection::close_after_writing(LateInput late_input) {
     if (state_ == State::closed || close_when_written_) return;
     handler_ = nullptr;
--- a/src/transport/connection.hpp
+++ b/src/transport/connection.hpp
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "transport/buffer.hpp"
+#include "transport/loop_turn.hpp"
 
 namespace indigovane::transport {
 
@@ -81,6 +82,10 @@
     void limit_unread(std::size_t bytes) { unread_limit_ = bytes; }
     // Continues reading after the handler consumed bytes.
     void resume();
+    // Called by the handler between two units of work on the unread bytes. True: it has used its share of the
+    // loop's turn and must return. on_data() is called again in a later turn, and until then nothing more is
+    // read, so that the end of the stream is not seen before the bytes that precede it.
+    bool must_yield();
 
     // What happens to input that arrives while the connection closes.
     enum class LateInput {
@@ -117,10 +122,12 @@
 
     bool write_some(error_code& ec);
     void half_close();
+    void deliver_unread();
     void schedule_hangup_check();
     void fail(const error_code& ec);
 
     Strand strand_;
+    LoopTurn& turn_;
     asio::ip::tcp::socket socket_;
     asio::steady_timer timer_;
     Handler* handler_ = nullptr;
@@ -137,6 +144,7 @@
     bool is_reading_ = false, has_active_writer_ = false, close_when_written_ = false,
          is_established_ = false;
     bool watches_hangup_ = false, is_hangup_check_scheduled_ = false;
+    bool is_delivery_scheduled_ = false;  // of unread bytes to the handler
 };
 
 }  // namespace indigovane::transport
--- a/src/transport/listener.cpp
+++ b/src/transport/listener.cpp
@@ -12,8 +12,6 @@
 constexpr auto kRetryDelay = std::chrono::milliseconds(20);
 // How long the constructor tries to open a socket.
 constexpr auto kOpenTimeout = std::chrono::seconds(5);
-// Maximum number of connections accepted before other tasks of the event loop run.
-constexpr int kMaxAcceptsPerTurn = 16;
 
 // Whether the error concerns only one connection, which ended before it was accepted, or an interrupted call.
 // More connections may wait in the queue (accept(2), "Error handling").
@@ -56,18 +54,17 @@
     return concerns_one_connection(ec) ? error_code{} : ec;
 }
 
-// Accepts waiting connections up to a limit, so that other tasks of the event loop get their turn.
+// Accepts waiting connections for as long as this handler may run in the present turn of the loop.
 error_code Listener::accept_some() {
-    for (int i = 0; i < kMaxAcceptsPerTurn && acceptor_.is_open() && !is_paused_; ++i) {
-        error_code ec = accept_one();
-        if (ec == asio::error::would_block) return {};
-        if (ec) return ec;
-    }
-    return {};
+    error_code ec;
+    do ec = accept_one();
+    while (!ec && acceptor_.is_open() && !is_paused_ && turn_.may_continue());
+    return ec == asio::error::would_block ? error_code{} : ec;
 }
 
 Listener::Listener(asio::io_context& io, const ListenAt& where, AcceptHandler on_accept)
     : io_(io),
+      turn_(LoopTurn::of(io)),
       strand_(asio::make_strand(io)),
       acceptor_(strand_),
       retry_timer_(strand_),
@@ -127,10 +124,11 @@
     // Limit for failures from a shortage of descriptors or memory. Connections that remain in the queue are
     // reset unread.
     constexpr int kMaxFailures = 64;
-    for (int failures = 0; acceptor_.is_open() && failures < kMaxFailures;) {
+    int failures = 0;
+    for (int i = 0; i < asio::socket_base::max_listen_connections && acceptor_.is_open(); ++i) {
         error_code ec = accept_one();
         if (ec == asio::error::would_block) return;
-        if (ec) ++failures;
+        if (ec && ++failures == kMaxFailures) return;
     }
 }
 
--- a/src/transport/listener.hpp
+++ b/src/transport/listener.hpp
@@ -31,7 +31,8 @@
     // Stops accepting. New connections wait in the kernel's queue until resume().
     void pause();
     void resume();
-    // Accepts all connections that wait in the kernel's queue, without returning to the event loop.
+    // Accepts the connections that wait in the kernel's queue, without returning to the event loop, and no
+    // more than that queue holds: clients may connect faster than connections are accepted.
     void drain();
     void close();
     // The descriptor of the listening socket, which the listener still owns.
@@ -46,6 +47,7 @@
     error_code accept_some();
 
     asio::io_context& io_;
+    LoopTurn& turn_;
     Strand strand_;
     asio::ip::tcp::acceptor acceptor_;
     asio::steady_timer retry_timer_;
--- a/tests/processes/soak_fleet.hpp
+++ b/tests/processes/soak_fleet.hpp
@@ -94,8 +94,7 @@
 
     void step() {
         loop_.io.restart();
-        loop_.io.run_one_for(std::chrono::milliseconds(2));
-        loop_.io.poll();
+        transport::LoopTurn::of(loop_.io).run(loop_.io, Millis(2));
         auto now = std::chrono::steady_clock::now();
         for (auto& c : clients_) c->tick(now);
         if (now < supervised_ + Millis(20)) return;
--- a/tests/support/event_loop.hpp
+++ b/tests/support/event_loop.hpp
@@ -5,6 +5,8 @@
 #include <chrono>
 #include <functional>
 
+#include "transport/loop_turn.hpp"
+
 namespace indigovane::testing {
 
 using namespace std::chrono_literals;
@@ -19,8 +21,7 @@
         while (!holds()) {
             if (std::chrono::steady_clock::now() > limit) return false;
             io.restart();
-            io.run_one_for(20ms);
-            io.poll();
+            transport::LoopTurn::of(io).run(io, 20ms);
             batch();
         }
         return true;
