Ask at the moment of a send whether the endpoint still has what the request requires

Cause: the policy compares a replica's position with 'now - bound' when it chooses the replica; the attempt may then wait up to 150 ms, and the check before the first byte looked at deadline, client, drains and retries, but not at the age. The same held of a session's commit answered meanwhile, and of the primary's role.

Change: AttemptDispatcher::may_start, which every send passes, asks RoutingPolicy::check_send with the required position of that moment. An attempt whose endpoint no longer qualifies ends as 'disqualified', a status and a log line of its own: it never ran, says nothing against the endpoint and counts as no attempt; the read is queued anew as long as one that has just arrived, so that another replica, or the same one after a check, may serve it.

--- a/src/policy/admission.cpp
+++ b/src/policy/admission.cpp
@@ -14,7 +14,8 @@
 /// time for a retry.
 constexpr double kMaxQueueShare = 0.45;
 /// Every read may be queued for this long, which suffices for on-demand checks of one or two replicas.
-/// Without it, all reads of a class with slow answers would be rejected on arrival.
+/// Without it, all reads of a class with slow answers would be rejected on arrival, and all that waited for a
+/// connection for nothing would be rejected after that.
 constexpr Duration kMinQueueTime = milliseconds(50);
 /// A read is queued only while at least this many usual latencies are left of its latency objective.
 constexpr double kReservedAnswerTimes = 4;
@@ -58,7 +59,7 @@
     if (request.request_class->needs_primary())
         return std::min(request.answer_due() - usual_latency(request), latest_useful_dispatch(request));
     Duration in_hand = from_milliseconds(request.request_class->usual_latency_ms * kReservedAnswerTimes);
-    return std::max(request.arrived + kMinQueueTime, request.latency_objective - in_hand);
+    return std::max(request.undecided_since + kMinQueueTime, request.latency_objective - in_hand);
 }
 
 Time attempt_start_deadline(const Request& request, Time now) {
--- a/src/policy/attempt_status.hpp
+++ b/src/policy/attempt_status.hpp
@@ -18,9 +18,12 @@
     /// not hold the data.
     miss,
     /// The endpoint answered with older data than the read allows. The client did not get this answer.
-    stale
+    stale,
+    /// The attempt was never sent: when its connection was ready, its endpoint no longer had what the request
+    /// requires. Its data was known to be recent enough, or it was known to be the primary, only earlier.
+    disqualified
 };
-constexpr std::size_t kAttemptStatusCount = 10;
+constexpr std::size_t kAttemptStatusCount = 11;
 
 /// What is known about whether a statement was executed, from the weakest to the strongest evidence. It does
 /// not depend on whether the answer was usable. Evidence that a statement ran is final: no later message,
@@ -34,6 +37,7 @@
         case AttemptStatus::unreachable:
         case AttemptStatus::not_started:
         case AttemptStatus::miss:
+        case AttemptStatus::disqualified:
             return Execution::never_ran;
         case AttemptStatus::ok:
         case AttemptStatus::stale:
--- a/src/policy/engine.hpp
+++ b/src/policy/engine.hpp
@@ -32,6 +32,7 @@
 #include "policy/replica_selection.hpp"
 #include "policy/request_class.hpp"
 #include "policy/request_state.hpp"
+#include "policy/routing_policy.hpp"
 #include "policy/session_tokens.hpp"
 #include "policy/settings.hpp"
 #include "policy/types.hpp"
@@ -45,6 +46,8 @@
 
     /// Appends the actions that the event leads to to `out`.
     void handle(Time now, const Event& event, Actions& out);
+    SendCheck check_send(RequestId id, EndpointId endpoint_id, std::optional<Time> decided_position,
+                         Time now);
     bool may_retry_elsewhere(RequestId id, Time now);
     SessionTokens tokens() const { return session_tokens_.snapshot(); }
 
--- a/src/policy/engine_requests.cpp
+++ b/src/policy/engine_requests.cpp
@@ -47,6 +47,23 @@
         .select();
 }
 
+/// The staleness bound counts from the send, so that the position that a bounded read requires rises while it
+/// waits for a connection.
+SendCheck Engine::check_send(RequestId id, EndpointId endpoint_id, std::optional<Time> decided_position,
+                             Time now) {
+    const Request* request = requests_.find(id);
+    const Endpoint* endpoint = endpoints_.find(endpoint_id);
+    const ReplicaGroup* group = request ? endpoints_.find_group(request->group) : nullptr;
+    if (!group || !endpoint) return {true, decided_position};
+    SendCheck check;
+    check.required_position = std::max(decided_position, required_position(*request, Time{}, now));
+    Time token = check.required_position.value_or(Time{});
+    check.is_allowed =
+        ReplicaSelector({settings_, health_check_interval_, now, random_}, *group, *request, token)
+            .still_qualifies(*endpoint, check.required_position);
+    return check;
+}
+
 bool Engine::may_retry_elsewhere(RequestId id, Time now) {
     const Request* request = requests_.find(id);
     if (!request || request->phase() != Request::Phase::in_flight || !may_retry(*request, now)) return false;
@@ -90,7 +107,9 @@
 }
 
 void Engine::complete_attempt(ReplicaGroup& group, Request& request, const AttemptOutcome& outcome) {
-    request.end_attempt(outcome.attempt, outcome.execution());
+    bool is_disqualified = outcome.status == AttemptStatus::disqualified;
+    request.end_attempt(outcome.attempt, outcome.execution(), is_disqualified);
+    if (is_disqualified) request.undecided_since = now_;
     remember_write(request, outcome);
     if (outcome.is_request_finished || request.phase() == Request::Phase::finished) return finish(request);
     if (request.attempts_in_flight() > 0) return;
--- a/src/policy/health_check_state.hpp
+++ b/src/policy/health_check_state.hpp
@@ -29,6 +29,7 @@
                 return false;
             case AttemptStatus::rejected:
             case AttemptStatus::not_started:
+            case AttemptStatus::disqualified:
                 return false;
             case AttemptStatus::unreachable:
             case AttemptStatus::reset:
--- a/src/policy/outlier_ejection.cpp
+++ b/src/policy/outlier_ejection.cpp
@@ -42,6 +42,7 @@
         case AttemptStatus::reset:
         case AttemptStatus::cancelled:
         case AttemptStatus::not_started:
+        case AttemptStatus::disqualified:
             break;
     }
     return false;
--- a/src/policy/replica_selection.cpp
+++ b/src/policy/replica_selection.cpp
@@ -40,6 +40,15 @@
     return request_.request_class->needs_primary() ? select_primary() : select_replica();
 }
 
+/// An endpoint that checks staleness rejects a read for which its data is too old. Where none does, the data
+/// has to be known to be recent enough.
+bool ReplicaSelector::still_qualifies(const Endpoint& endpoint, std::optional<Time> needed) const {
+    if (&endpoint == primary_) return true;
+    if (request_.request_class->needs_primary()) return false;
+    if (!needed || endpoint.replication.position >= *needed) return true;
+    return endpoints_check_staleness(context_.settings) && !needs_proven_position();
+}
+
 bool ReplicaSelector::has_alternative() const {
     bool may_use_primary = request_.request_class->needs_primary() || has_consistency(Consistency::session);
     if (may_use_primary && primary_ && admits(*primary_)) return true;
--- a/src/policy/replica_selection.hpp
+++ b/src/policy/replica_selection.hpp
@@ -64,6 +64,9 @@
 
     /// Draws random numbers when it chooses among several endpoints.
     Selection select();
+    /// Whether an attempt that was decided on earlier may be sent to the endpoint now. `needed`: the position
+    /// that its data must have reached; absent: any.
+    bool still_qualifies(const Endpoint& endpoint, std::optional<Time> needed) const;
     /// Whether an endpoint that the request was not sent to, or the primary, could serve it now. Load is not
     /// considered.
     bool has_alternative() const;
--- a/src/policy/request_state.cpp
+++ b/src/policy/request_state.cpp
@@ -15,7 +15,8 @@
       slow_start_draw(uniform_draw),
       arrived(now),
       deadline(now + arrival.client_timeout),
-      latency_objective(std::min(now + request_class->latency_objective - elapsed, deadline)) {
+      latency_objective(std::min(now + request_class->latency_objective - elapsed, deadline)),
+      undecided_since(now) {
     if (arrival.since_last_write) carried_token = now - *arrival.since_last_write;
 }
 
@@ -34,8 +35,9 @@
     return true;
 }
 
-void Request::end_attempt(std::uint32_t number, Execution execution) {
+void Request::end_attempt(std::uint32_t number, Execution execution, bool is_disqualified) {
     if (number >= attempts_.size()) return;
+    attempts_[number].is_disqualified = is_disqualified;
     attempts_[number].progress = Attempt::Progress::ended;
     attempts_[number].execution = execution;
 }
@@ -53,7 +55,7 @@
 
 bool RequestTable::refers_to(const Endpoint& endpoint) const {
     return std::ranges::any_of(requests_, [&](const auto& entry) {
-        return entry.second.on_demand_check.endpoint == &endpoint || entry.second.was_sent_to(endpoint);
+        return entry.second.on_demand_check.endpoint == &endpoint || entry.second.has_attempt_at(endpoint);
     });
 }
 
--- a/src/policy/request_state.hpp
+++ b/src/policy/request_state.hpp
@@ -30,6 +30,7 @@
     Time sent;
     Progress progress = Progress::awaiting_response;
     Execution execution = Execution::may_have_run;  ///< may_have_run while it is in flight
+    bool is_disqualified = false;                   ///< never sent, because the endpoint no longer qualified
 
     bool is_in_flight() const { return progress != Progress::ended; }
     bool may_have_run() const { return execution != Execution::never_ran; }
@@ -63,6 +64,7 @@
     Time arrived;
     Time deadline;           ///< when the client gives up
     Time latency_objective;  ///< an answer after this is late; never after the deadline
+    Time undecided_since;    ///< when it arrived, or when its latest attempt was disqualified
     OnDemandCheck on_demand_check;
     std::optional<Time> review_at;  ///< when its timer expires; absent: none is set
 
@@ -76,7 +78,17 @@
     int attempts_that_may_have_run() const {
         return int(std::ranges::count_if(attempts_, &Attempt::may_have_run));
     }
+    /// Attempts that count against the limit. One that was disqualified has cost nothing, and its endpoint
+    /// may qualify again.
+    std::size_t counted_attempts() const {
+        return std::size_t(std::ranges::count(attempts_, false, &Attempt::is_disqualified));
+    }
     bool was_sent_to(const Endpoint& endpoint) const {
+        return std::ranges::any_of(attempts_, [&](const Attempt& attempt) {
+            return attempt.endpoint == &endpoint && !attempt.is_disqualified;
+        });
+    }
+    bool has_attempt_at(const Endpoint& endpoint) const {
         return std::ranges::any_of(attempts_,
                                    [&](const Attempt& attempt) { return attempt.endpoint == &endpoint; });
     }
@@ -91,7 +103,7 @@
     /// Marks the last attempt's response as started. False if that attempt does not await a response.
     bool start_response();
     /// `number`: index of the attempt; an unknown one is ignored.
-    void end_attempt(std::uint32_t number, Execution execution);
+    void end_attempt(std::uint32_t number, Execution execution, bool is_disqualified = false);
     void finish() { phase_ = Phase::finished; }
 
   private:
--- a/src/policy/retry_policy.cpp
+++ b/src/policy/retry_policy.cpp
@@ -13,7 +13,7 @@
 }  // namespace
 
 bool may_retry(const Request& request, Time now) {
-    if (request.attempts().size() >= request.max_attempts || now >= request.answer_due()) return false;
+    if (request.counted_attempts() >= request.max_attempts || now >= request.answer_due()) return false;
     int may_have_run = request.attempts_that_may_have_run();
     if (may_have_run > kMaxRetriesAfterExecution) return false;
     const RequestClass& request_class = *request.request_class;
--- a/src/policy/routing_policy.cpp
+++ b/src/policy/routing_policy.cpp
@@ -14,6 +14,11 @@
     engine_->handle(now, event, out);
 }
 
+SendCheck RoutingPolicy::check_send(RequestId id, EndpointId endpoint, std::optional<Time> decided_position,
+                                    Time now) {
+    return engine_->check_send(id, endpoint, decided_position, now);
+}
+
 bool RoutingPolicy::may_retry_elsewhere(RequestId id, Time now) {
     return engine_->may_retry_elsewhere(id, now);
 }
--- a/src/policy/routing_policy.hpp
+++ b/src/policy/routing_policy.hpp
@@ -20,6 +20,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 
 #include "policy/actions.hpp"
 #include "policy/attempt_status.hpp"
@@ -31,6 +32,13 @@
 
 class Engine;  // engine.hpp
 
+/// What holds for an attempt at the moment at which it is sent.
+struct SendCheck {
+    /// False: the endpoint no longer qualifies. The attempt must end as AttemptStatus::disqualified.
+    bool is_allowed = true;
+    std::optional<Time> required_position;  ///< of a read: the position that its data must have reached
+};
+
 /// Not thread-safe: only one thread at a time may call an object.
 class RoutingPolicy {
   public:
@@ -43,6 +51,10 @@
     /// Handles an event and appends the resulting actions to `out`.
     void handle(Time now, const Event& event, Actions& out);
 
+    /// Asked right before an attempt is sent, which may be long after SendAttempt: it may have waited for a
+    /// connection. `decided_position`: the required position of SendAttempt, raised by commits of the session
+    /// that have been answered since. Changes nothing.
+    SendCheck check_send(RequestId id, EndpointId endpoint, std::optional<Time> decided_position, Time now);
     /// Whether the policy would send the request to another endpoint if its attempt in flight ended now
     /// without an answer. Changes nothing.
     bool may_retry_elsewhere(RequestId id, Time now);
--- a/src/routing/attempt_dispatcher.cpp
+++ b/src/routing/attempt_dispatcher.cpp
@@ -219,24 +219,41 @@
     endpoint->pool->serve_waiting();
 }
 
-const ClientRequest* AttemptDispatcher::may_start(EndpointId id, BackendTask& task) {
+// All that holds at the moment of a send is checked here, for new connections and for idle ones.
+Pool::StartDecision AttemptDispatcher::may_start(EndpointId id, BackendTask& task) {
     PendingRequest* pending = core_.requests.find_unanswered(task.request);
     const Endpoint* endpoint = core_.endpoints.find(id);
-    if (!pending || !endpoint || !endpoint->accepts_requests) return nullptr;
+    if (!pending || !endpoint || !endpoint->accepts_requests) return {};
     Time now = core_.clock.now();
-    if (now >= task.deadline || now > task.start_by) return nullptr;
+    if (now >= task.deadline || now > task.start_by) return {};
     // The client may have closed its connection without this process having read that: the event loop was
     // blocked, or it reads no further than the request.
     if (!pending->responder->is_client_present()) {
         core_.completion.withdraw(task.request, RequestAdmission::Departure::client_left);
-        return nullptr;
+        return {};
     }
     if (!core_.guard.admits_first_byte(*pending, task.number, endpoint->info.zone, endpoint->info.group, now))
-        return nullptr;
-    if (pending->newer_commit_unix_ms)
-        task.required_position_unix_ms =
-            std::max(task.required_position_unix_ms.value_or(0), *pending->newer_commit_unix_ms);
-    return &pending->request;
+        return {};
+    if (!still_qualifies(*pending, id, task, now)) {
+        core_.log.disqualified(*pending, task, id, now);
+        return {nullptr, AttemptStatus::disqualified};
+    }
+    return {&pending->request};
+}
+
+// Asks the policy again whether the endpoint has what the request requires, and updates the position that the
+// answer must have reached.
+bool AttemptDispatcher::still_qualifies(const PendingRequest& pending, EndpointId id, BackendTask& task,
+                                        Time now) {
+    std::optional<std::int64_t> decided =
+        std::max(task.required_position_unix_ms, pending.newer_commit_unix_ms);
+    std::optional<Time> position;
+    if (decided) position = core_.clock.from_unix(*decided * kMicrosPerMilli);
+    policy::SendCheck check = core_.policy.check_send(task.request, id, position, now);
+    task.required_position_unix_ms.reset();
+    if (check.required_position)
+        task.required_position_unix_ms = core_.clock.to_unix(*check.required_position) / kMicrosPerMilli;
+    return check.is_allowed;
 }
 
 }  // namespace indigovane::routing
--- a/src/routing/attempt_dispatcher.hpp
+++ b/src/routing/attempt_dispatcher.hpp
@@ -57,13 +57,14 @@
                              std::size_t length) override;
     bool on_response_piece(const BackendTask& task, std::string_view bytes) override;
     void on_answer_paused(EndpointId endpoint, const BackendTask& task, Duration pause) override;
-    const ClientRequest* may_start(EndpointId id, BackendTask& task) override;
+    Pool::StartDecision may_start(EndpointId id, BackendTask& task) override;
 
   private:
     BackendTask make_task(const policy::SendAttempt& send, const PendingRequest& pending) const;
     bool exceeds_retry_budget(const PendingRequest& pending);
     void block_attempt(RequestId id, const PendingRequest& pending, Invariant invariant);
     void submit(Endpoint& endpoint, EndpointId id, const BackendTask& task);
+    bool still_qualifies(const PendingRequest& pending, EndpointId id, BackendTask& task, Time now);
     bool is_response_started(const BackendTask& task);
     std::optional<Time> extended_deadline(const BackendTask& task);
     bool end_task(EndpointId id, Pool& pool, const BackendTask& task, policy::AttemptStatus if_sent,
--- a/src/routing/pool.cpp
+++ b/src/routing/pool.cpp
@@ -83,13 +83,14 @@
             pooled->connection->probe();
             return;
         }
-        const ClientRequest* request = owner_.may_start(endpoint_, task);
-        if (!request) {
-            owner_.on_task_end(endpoint_, task, result_without_answer(AttemptStatus::not_started));
+        StartDecision start = owner_.may_start(endpoint_, task);
+        if (!start.request) {
+            owner_.on_task_end(endpoint_, task, result_without_answer(start.status));
             continue;
         }
         pooled->task = task;
-        pooled->connection->submit(*request, task.deadline - clock_.now(), task.required_position_unix_ms);
+        pooled->connection->submit(*start.request, task.deadline - clock_.now(),
+                                   task.required_position_unix_ms);
         return;
     }
     release(pooled);
--- a/src/routing/pool.hpp
+++ b/src/routing/pool.hpp
@@ -16,6 +16,13 @@
 
 class Pool : private BackendConnection::Owner {
   public:
+    // Whether an attempt may start.
+    struct StartDecision {
+        const ClientRequest* request = nullptr;  // to be sent; nullptr: the attempt must not start
+        // How the attempt ends if it must not start.
+        policy::AttemptStatus status = policy::AttemptStatus::not_started;
+    };
+
     // The owner of the tasks. Each submitted task ends exactly once, by on_task_end() or by cancel().
     class Owner {
       public:
@@ -30,10 +37,10 @@
         // goes on.
         virtual void on_answer_paused(EndpointId endpoint, const BackendTask& task, Duration pause) = 0;
         // Called right before an attempt's first byte is written. While the attempt waited for a connection,
-        // it may have been cancelled, its deadline may have passed or the endpoint may have started to drain.
-        // Returns the request to send, or nullptr if the attempt must not start. The position that the answer
-        // must have reached may have increased meanwhile; the owner then updates it in the task.
-        virtual const ClientRequest* may_start(EndpointId endpoint, BackendTask& task) = 0;
+        // it may have been cancelled, its deadline may have passed, the endpoint may have started to drain or
+        // its data may have become too old. The position that the answer must have reached may have increased
+        // meanwhile; the owner then updates it in the task.
+        virtual StartDecision may_start(EndpointId endpoint, BackendTask& task) = 0;
 
       protected:
         ~Owner() = default;
--- a/src/routing/request_log.cpp
+++ b/src/routing/request_log.cpp
@@ -32,6 +32,8 @@
             return "miss";
         case AttemptStatus::stale:
             return "stale";
+        case AttemptStatus::disqualified:
+            return "disqualified";
     }
     return "unknown";
 }
@@ -86,6 +88,18 @@
                  {"latency_ms", milliseconds(now - task.sent)}});
 }
 
+void RequestLog::disqualified(const PendingRequest& request, const BackendTask& task, EndpointId endpoint,
+                              Time now) {
+    if (!logger_.wants("disqualified")) return;
+    logger_.log(Level::info, "disqualified",
+                "an attempt was not sent: its endpoint no longer has what the request requires",
+                {{"request", request.request.id},
+                 {"class", request.request.class_name},
+                 {"attempt", std::to_string(task.number)},
+                 {"endpoint", endpoint_uids_(endpoint)},
+                 {"waited_ms", milliseconds(now - task.sent)}});
+}
+
 void RequestLog::malformed(const PendingRequest* request, const BackendTask& task, EndpointId endpoint,
                            const char* what) {
     Logger::Data data{{"endpoint", endpoint_uids_(endpoint)},
--- a/src/routing/request_log.hpp
+++ b/src/routing/request_log.hpp
@@ -4,6 +4,7 @@
 //   attempt             an attempt ended without an answer that is passed on to the client
 //   retry               a further attempt of a request is sent
 //   stale               the data of an answer was too old
+//   disqualified        an attempt was not sent, because its endpoint's data had become too old
 //   malformed_response  an answer could not be used
 //   ended               this process rejects or fails a request
 //   client_left         the client left before its answer, after attempts had been sent
@@ -37,6 +38,7 @@
     void retried(const PendingRequest& request, EndpointId endpoint, Time now);
     void stale(const PendingRequest& request, const BackendTask& task, EndpointId endpoint,
                std::int64_t position_unix_ms, Time now);
+    void disqualified(const PendingRequest& request, const BackendTask& task, EndpointId endpoint, Time now);
     // `request` is nullptr for a health check and for a request that has been forgotten. `what` is the text
     // of the log line.
     void malformed(const PendingRequest* request, const BackendTask& task, EndpointId endpoint,
--- a/src/routing/site_controller.cpp
+++ b/src/routing/site_controller.cpp
@@ -52,6 +52,7 @@
             if (duration >= unresponsive_after) return site::ContactResult::unanswered;
             break;
         case AttemptStatus::not_started:
+        case AttemptStatus::disqualified:
             break;
     }
     return std::nullopt;
--- a/tests/adapters/session_consistency_test.cpp
+++ b/tests/adapters/session_consistency_test.cpp
@@ -48,17 +48,24 @@
     return request;
 }
 
+// Where hosts check positions, the read is sent, and its answer is dropped if it is too old all the same.
+// Where they don't, the read is not sent to a host that is not known to have the commit.
 TEST_CASE("a session's read that waits for a connection sees a write that is answered meanwhile") {
+    bool hosts_check = false;
+    SUBCASE("hosts check positions") {
+        hosts_check = true;
+    }
+    SUBCASE("hosts do not check positions") {}
     ManualClock clock;
     IdleDriver driver;
     AnswerCount writer;
     AnswerCount reader;
     FakeBackend backend;
     NullLogger logger;
-    auto without_checks = settings();
-    without_checks.may_check_health = false;
-    without_checks.staleness_check = policy::StalenessCheck::none;
-    routing::Core core(driver, clock, without_checks, 3, {}, backend, logger);
+    auto used_settings = settings();
+    used_settings.may_check_health = false;
+    if (!hosts_check) used_settings.staleness_check = policy::StalenessCheck::none;
+    routing::Core core(driver, clock, used_settings, 3, {}, backend, logger);
     core.apply_endpoint_list(policy::EndpointListKind::full, primary_and_replica());
     auto send = [&](const char* id, std::uint32_t request_class, routing::Responder& responder) {
         core.accept(session_request(id, request_class), responder);
@@ -83,10 +90,21 @@
     establish(1);
     answer(1, 100'020, policy::Role::primary);  // the position of the commit
     CHECK(writer.answers == 1);
-    establish(0);                               // the read is sent only after the commit
-    answer(0, 100'001, policy::Role::replica);  // a position before the commit
+    establish(0);  // the read can be sent only after the commit
+    CHECK(backend.links[0]->busy == hosts_check);
+    if (hosts_check) {
+        answer(0, 100'001, policy::Role::replica);  // a position before the commit
+        CHECK(logger.lines["stale"] == 1);
+        CHECK(reader.answers == 0);
+        return;
+    }
+    CHECK(logger.lines["disqualified"] == 1);
     CHECK(reader.answers == 0);
-    CHECK(logger.lines["stale"] == 1);
+    backend.links[1]->busy = false;
+    core.run_batch();
+    CHECK(backend.links[1]->busy);  // the primary has the commit
+    answer(1, 100'030, policy::Role::primary);
+    CHECK(reader.answers == 1);
 }
 
 // The routing policy alone, with a primary (1) and a replica (2). Health checks report the replica's lag.
--- a/tests/routing/endpoint_registry_test.cpp
+++ b/tests/routing/endpoint_registry_test.cpp
@@ -15,7 +15,7 @@
     void on_response_started(EndpointId, const BackendTask&, const Answer&, std::size_t) override {}
     bool on_response_piece(const BackendTask&, std::string_view) override { return true; }
     void on_answer_paused(EndpointId, const BackendTask&, routing::Duration) override {}
-    const ClientRequest* may_start(EndpointId, BackendTask&) override { return nullptr; }
+    Pool::StartDecision may_start(EndpointId, BackendTask&) override { return {}; }
 };
 
 struct RegistryFixture {
--- a/tests/routing/pool_test.cpp
+++ b/tests/routing/pool_test.cpp
@@ -23,8 +23,8 @@
         REQUIRE(open.erase(std::uint64_t(task.request)) == 1);  // each task ends once
         last_status = result.status;
     }
-    const routing::ClientRequest* may_start(EndpointId, BackendTask& task) override {
-        return blocked.count(std::uint64_t(task.request)) ? nullptr : &request;
+    Pool::StartDecision may_start(EndpointId, BackendTask& task) override {
+        return {blocked.count(std::uint64_t(task.request)) ? nullptr : &request};
     }
     routing::ClientRequest request;
     std::set<std::uint64_t> open, blocked;
