Hold back clients that read nothing while all clients together use too much memory

Cause: a session over the listener's limit was closed only if nothing of it was unwritten, which never holds for a client that does not read. Each stayed within its own limits (256 KiB unwritten, 168 KiB unread), and nothing bounded the sum.

A session that has yielded the loop with input left is not closed over its memory before it has looked at that input. The tests' Loop::settle runs turns as the program does.

--- a/src/adapters/client_listener.cpp
+++ b/src/adapters/client_listener.cpp
@@ -177,7 +177,7 @@
     std::size_t bytes = session.memory_bytes() - std::min(session.memory_bytes(), session.granted_bytes);
     memory_bytes_ += bytes - session.counted_bytes;
     session.counted_bytes = bytes;
-    return memory_bytes_ > max_memory_bytes_ && bytes > kSmallSessionBytes;
+    return is_over_memory_limit() && bytes > kSmallSessionBytes;
 }
 
 void ClientListener::linger(const std::shared_ptr<transport::Connection>& connection) {
--- a/src/adapters/client_listener.hpp
+++ b/src/adapters/client_listener.hpp
@@ -53,6 +53,10 @@
     /// Updates the sum of the sessions' bytes. Returns whether the sum is over its limit and this session has
     /// a large part in it.
     bool is_over_memory_limit(Session& session);
+    /// The sum of the bytes in all sessions' buffers, without those reserved for long messages.
+    std::size_t buffered_bytes() const { return memory_bytes_; }
+    /// Whether the sum of the sessions' bytes is over its limit.
+    bool is_over_memory_limit() const { return memory_bytes_ > max_memory_bytes_; }
     /// Number of half-closed connections that are kept after the end of their session, unless the listener
     /// is retiring.
     static constexpr std::size_t kLingering = 16;
--- a/src/adapters/session.cpp
+++ b/src/adapters/session.cpp
@@ -4,6 +4,11 @@
 
 namespace indigovane::adapters {
 
+namespace {
+// Unwritten bytes of a session beyond which it is held back while all sessions use too much memory.
+constexpr std::size_t kMaxUnwrittenWhenHeldBack = 16384;
+}  // namespace
+
 Session::Session(boost::asio::io_context& io, ClientListener& client_listener,
                  routing::RequestAdmission& admission, Limits limits)
     : client_listener_(client_listener),
@@ -91,23 +96,32 @@
 }
 
 bool Session::may_process_message() const {
-    return input_ && !input_->empty() && state_ == State::idle &&
+    return input_ && !input_->empty() && state_ == State::idle && !is_held_back() &&
            connection_->unwritten() <= limits_.unwritten_bytes;
 }
 
+// Whether nothing more is read from this client and answered to it until it has read what it was sent.
+// Clients that send much and read nothing would otherwise fill the memory, each within its own limits.
+bool Session::is_held_back() const {
+    return client_listener_.is_over_memory_limit() && connection_->unwritten() > kMaxUnwrittenWhenHeldBack;
+}
+
 void Session::process_input() {
     if (is_processing_) return;
     is_processing_ = true;
-    while (may_process_message() && process_next_message(*input_)) {
+    bool has_yielded = false;
+    while (!has_yielded && may_process_message() && process_next_message(*input_)) {
         has_progressed_ = has_received_message_ = true;
-        if (!input_->empty() && connection_->must_yield()) break;
+        has_yielded = !input_->empty() && connection_->must_yield();
     }
     is_processing_ = false;
-    // A session that serves a request is not closed: what is unread behind the request is bounded, and it is
-    // checked again after the answer.
+    // A session that serves a request, or has yet to look at what it has read, is not closed: that is
+    // bounded, and it is checked again afterwards.
     bool is_over_limit = state_ != State::closed && client_listener_.is_over_memory_limit(*this);
-    if (is_over_limit && state_ == State::idle && connection_->unwritten() == 0) on_memory_limit();
+    bool may_close = state_ == State::idle && !has_yielded && connection_->unwritten() == 0;
+    if (is_over_limit && may_close) on_memory_limit();
     if (state_ == State::closed) return;
+    if (granted_bytes == 0) connection_->limit_unread(is_held_back() ? 1 : limits_.unread_bytes);
     update_timeout();
     close_if_retiring();
     if (state_ != State::closed) connection_->resume();
--- a/src/adapters/session.hpp
+++ b/src/adapters/session.hpp
@@ -123,6 +123,7 @@
     bool is_client_present() override { return !connection_->hung_up(); }
     void end_with(routing::RequestAdmission::Departure departure);
     bool may_process_message() const;
+    bool is_held_back() const;
     void process_input();
     void update_timeout();
 
--- a/tests/adapters/front_connections_test.cpp
+++ b/tests/adapters/front_connections_test.cpp
@@ -76,6 +76,51 @@
     CHECK(no_memory > 0);
 }
 
+// A session over the limit was closed only if its client had read everything: many clients that read nothing
+// took the process over its memory, each within its own limits.
+TEST_CASE("pg: clients that send much and read nothing stay within the byte limit together") {
+    constexpr std::size_t kLimit = 512 << 10, kClients = 16;
+    constexpr std::size_t kMostOfSession = 64 << 10;  // beyond the limit
+    ScriptedPgFront fixture(kClients + 10, adapters::PgOptions{.client_timeout = 60s});
+    fixture.front.limit_buffered_bytes(kLimit);
+    std::string much = pg::Writer().startup("u", "d").take();
+    while (much.size() < (4 << 20)) much += pg::Writer().query("x").take();
+    struct Sender {
+        explicit Sender(Loop& loop) : socket(loop.io, boost::asio::ip::tcp::v4()) {
+            socket.set_option(boost::asio::socket_base::receive_buffer_size(4096));
+        }
+        boost::asio::ip::tcp::socket socket;
+        std::size_t sent = 0;
+    };
+    std::vector<std::unique_ptr<Sender>> senders;
+    for (std::size_t i = 0; i < kClients; ++i) {
+        senders.push_back(std::make_unique<Sender>(fixture.loop));
+        senders.back()->socket.connect(fixture.front.local());
+        senders.back()->socket.non_blocking(true);
+    }
+    std::size_t most = 0;
+    // Until the front has neither read nor written anything for a while.
+    std::size_t before = 0;
+    for (int idle_rounds = 0; idle_rounds < 15; ++idle_rounds) {
+        for (auto& sender : senders) {
+            boost::system::error_code ec;
+            sender->sent += sender->socket.write_some(
+                boost::asio::buffer(much.data() + sender->sent, much.size() - sender->sent), ec);
+        }
+        fixture.loop.settle();
+        std::size_t bytes = fixture.front.buffered_bytes();
+        if (std::exchange(before, bytes) != bytes) idle_rounds = 0;
+        most = std::max(most, bytes);
+    }
+    MESSAGE("at most " << most << " bytes");
+    CHECK(most > kLimit / 2);  // they do fill it
+    CHECK(most <= kLimit + kClients * kMostOfSession);
+    Client other(fixture.loop, fixture.front.local());
+    other.send(pg::Writer().startup("u", "d").query(sql("s1")).take());
+    CHECK(other.reply() == "RZ");
+    CHECK(other.reply() == "TDCZ");
+}
+
 TEST_CASE(
     "served clients that are idle are closed at the limit of served sessions, below the connection limit") {
     ScriptedPgFront fixture(100);
--- a/tests/support/event_loop.hpp
+++ b/tests/support/event_loop.hpp
@@ -28,9 +28,10 @@
     }
     // Runs whatever is ready now, and what follows from it within 20 ms.
     void settle() {
-        for (int i = 0; i < 20; ++i) {
+        const auto end = std::chrono::steady_clock::now() + 20ms;
+        while (std::chrono::steady_clock::now() < end) {
             io.restart();
-            io.run_for(1ms);
+            transport::LoopTurn::of(io).run(io, 1ms);
             batch();
         }
     }
