--- a/src/adapters/pg_backend.cpp
+++ b/src/adapters/pg_backend.cpp
@@ -7,6 +7,7 @@
 #include "adapters/backend_connection_base.hpp"
 #include "adapters/pg_load_report.hpp"
 #include "adapters/pg_query_text.hpp"
+#include "adapters/pg_sqlstate.hpp"
 #include "protocol/pg.hpp"
 
 namespace indigovane::adapters {
@@ -269,31 +270,11 @@
         out += message.body;
         return nullptr;
     }
-    // Whether the statement itself caused the error: every other host would answer the same, and the
-    // statement has had no effect. All other classes (08, 53, 57, 58, XX, ...) are faults of the host.
-    static bool is_statement_error(std::string_view code) {
-        static constexpr std::string_view kStatementErrorClasses[] = {
-            "0A", "20", "21", "22", "23", "24", "25", "26", "28", "2B", "2D", "2F",
-            "34", "38", "39", "3B", "3D", "3F", "40", "42", "44", "54", "55", "P0"};
-        return code == pg::sqlstate::kQueryCanceled ||
-               std::find(std::begin(kStatementErrorClasses), std::end(kStatementErrorClasses),
-                         code.substr(0, 2)) != std::end(kStatementErrorClasses);
-    }
-
     const char* process_error(std::string_view body) {
         pg::ErrorFields fields = pg::read_error(body);
-        if (fields.code.size() != 5 || !std::all_of(fields.code.begin(), fields.code.end(), [](char c) {
-                return (c >= '0' && c <= '9') || (c >= 'A' && c <= 'Z');
-            }))
-            return "error message without a valid SQLSTATE";
+        if (!is_sqlstate(fields.code)) return "error message without a valid SQLSTATE";
         has_failed_ = true;
-        if (fields.code == pg::sqlstate::kReadOnly || fields.code == pg::sqlstate::kSnapshotTooOld)
-            result_.status = AttemptStatus::miss;
-        else if (fields.code == pg::sqlstate::kTooManyConnections ||
-                 fields.code == pg::sqlstate::kCannotConnectNow)
-            result_.status = AttemptStatus::rejected;
-        else
-            result_.status = AttemptStatus::error;
+        result_.status = attempt_status_of(fields.code);
         if (forwards_messages() && result_.status == AttemptStatus::error && fields.severity != "FATAL" &&
             is_statement_error(fields.code)) {
             has_failed_ = false;
--- a/src/adapters/rest_backend.cpp
+++ b/src/adapters/rest_backend.cpp
@@ -111,7 +111,7 @@
         if (state_ == State::awaiting_answer && input_ && !input_->empty() && ec == boost::asio::error::eof &&
             process_response(*input_, true) && !owner_)
             return;
-        end(end_reason_if_lost());
+        BackendConnectionBase::on_closed(ec);
     }
 
     // Processes one response. False: it is incomplete, or was malformed or not requested, which ends the
--- a/src/policy/attempt_status.hpp
+++ b/src/policy/attempt_status.hpp
@@ -25,6 +25,26 @@
 };
 constexpr std::size_t kAttemptStatusCount = 11;
 
+/// Whether the status shows that the endpoint itself has answered.
+constexpr bool is_answer(AttemptStatus status) {
+    switch (status) {
+        case AttemptStatus::ok:
+        case AttemptStatus::error:
+        case AttemptStatus::rejected:
+        case AttemptStatus::miss:
+        case AttemptStatus::stale:
+            return true;
+        case AttemptStatus::timeout:
+        case AttemptStatus::unreachable:
+        case AttemptStatus::reset:
+        case AttemptStatus::cancelled:
+        case AttemptStatus::not_started:
+        case AttemptStatus::disqualified:
+            break;
+    }
+    return false;
+}
+
 /// What is known about whether a statement was executed, from the weakest to the strongest evidence. It does
 /// not depend on whether the answer was usable. Evidence that a statement ran is final: no later message,
 /// broken connection, clock reading or decision of another layer withdraws it.
--- a/src/policy/outlier_ejection.cpp
+++ b/src/policy/outlier_ejection.cpp
@@ -28,26 +28,6 @@
 /// long after the ejection.
 constexpr Duration kNonIdempotentTrialDelay = seconds(2);
 
-/// Whether the status shows that the endpoint itself has answered.
-bool is_answer(AttemptStatus status) {
-    switch (status) {
-        case AttemptStatus::ok:
-        case AttemptStatus::error:
-        case AttemptStatus::rejected:
-        case AttemptStatus::miss:
-        case AttemptStatus::stale:
-            return true;
-        case AttemptStatus::timeout:
-        case AttemptStatus::unreachable:
-        case AttemptStatus::reset:
-        case AttemptStatus::cancelled:
-        case AttemptStatus::not_started:
-        case AttemptStatus::disqualified:
-            break;
-    }
-    return false;
-}
-
 }  // namespace
 
 bool Ejection::eject(Fault fault, Time now) {
--- a/src/routing/site_controller.cpp
+++ b/src/routing/site_controller.cpp
@@ -34,13 +34,8 @@
 std::optional<site::ContactResult> contact_result(const BackendTask& task, AttemptStatus status,
                                                   Duration duration, Duration connect_timeout,
                                                   Duration unresponsive_after) {
+    if (policy::is_answer(status)) return site::ContactResult::answered;
     switch (status) {
-        case AttemptStatus::ok:
-        case AttemptStatus::error:
-        case AttemptStatus::rejected:
-        case AttemptStatus::miss:
-        case AttemptStatus::stale:
-            return site::ContactResult::answered;
         case AttemptStatus::timeout:
             return site::ContactResult::unanswered;
         case AttemptStatus::unreachable:
@@ -51,9 +46,8 @@
         case AttemptStatus::cancelled:
             if (duration >= unresponsive_after) return site::ContactResult::unanswered;
             break;
-        case AttemptStatus::not_started:
-        case AttemptStatus::disqualified:
-            break;
+        default:
+            break;  // shows nothing
     }
     return std::nullopt;
 }
--- a/src/transport/loop_turn.hpp
+++ b/src/transport/loop_turn.hpp
@@ -20,7 +20,6 @@
 // One object for each event loop. Not thread-safe: the loop has one thread.
 class LoopTurn final : public boost::asio::execution_context::service {
   public:
-    using key_type = LoopTurn;
     using Time = std::chrono::steady_clock::time_point;
     using Duration = std::chrono::steady_clock::duration;
 
