--- a/tests/processes/soak_test.cpp
+++ b/tests/processes/soak_test.cpp
@@ -1,4 +1,4 @@
-// Random, overlapping faults over real processes, judged by the invariants of soak_record.hpp. Here about a minute
+// Random, overlapping faults over real processes, judged by the invariants of soak_record.hpp. Here a minute
 // with few processes and fixed seeds; `make soak` plays longer with a few dozen.
 #include "processes/soak_fleet.hpp"
 
