--- a/src/routing/answer_bounds.cpp
+++ b/src/routing/answer_bounds.cpp
@@ -5,8 +5,12 @@
 namespace indigovane::routing {
 
 namespace {
-// A request counts as lost if its answer ends over 0.5 s after its deadline. This leaves 0.1 s to end it.
-constexpr Duration kStartedResponseGrace = std::chrono::milliseconds(400);
+// How often a started response is looked at after its deadline.
+constexpr Duration kStartedResponseInterval = std::chrono::seconds(5);
+// The least number of bytes between two looks with which a host counts as going on.
+constexpr std::uint64_t kMinStartedResponseBytes = 1024;
+// How soon it is looked at again while only its client holds it up.
+constexpr Duration kSlowClientInterval = std::chrono::milliseconds(100);
 }  // namespace
 
 bool may_give_up_paused_answer(const PendingRequest& pending, Duration pause, bool policy_retries) {
@@ -15,8 +19,12 @@
     return pause >= kAnswerPause * (1 << earlier_pauses);
 }
 
-Time answer_due(const BackendTask& task, bool response_started) {
-    return response_started ? task.deadline + kStartedResponseGrace : task.deadline;
+std::optional<Time> next_look_at_started(PendingRequest& pending, Time now) {
+    if (pending.awaits_client) return now + kSlowClientInterval;
+    std::uint64_t since_last_look = pending.response_bytes - pending.response_bytes_at_look;
+    if (since_last_look < kMinStartedResponseBytes) return std::nullopt;
+    pending.response_bytes_at_look = pending.response_bytes;
+    return now + kStartedResponseInterval;
 }
 
 }  // namespace indigovane::routing
--- a/src/routing/answer_bounds.hpp
+++ b/src/routing/answer_bounds.hpp
@@ -39,8 +39,11 @@
 // out.
 bool may_give_up_paused_answer(const PendingRequest& pending, Duration pause, bool policy_retries);
 
-// When the answer to the task must have ended. Once the client has received a part of it, no other answer can
-// take its place, so that it gets what time there is until the request counts as lost.
-Time answer_due(const BackendTask& task, bool response_started);
+// When an answer of which the client has received a part is looked at again, once its task's deadline has
+// passed; nullopt: it is ended now. A response that has started has no deadline for as long as its host goes
+// on with it, so that it is ended only if next to nothing has come since the last look. Time in which only
+// the client holds it up does not count: a client that reads slowly has a limit of its own
+// (adapters/session.hpp).
+std::optional<Time> next_look_at_started(PendingRequest& pending, Time now);
 
 }  // namespace indigovane::routing
--- a/src/routing/attempt_dispatcher.cpp
+++ b/src/routing/attempt_dispatcher.cpp
@@ -9,11 +9,6 @@
 
 using policy::AttemptStatus;
 
-namespace {
-// How often an overdue answer is looked at again while only its client holds it up.
-constexpr Duration kSlowClientInterval = std::chrono::milliseconds(100);
-}  // namespace
-
 BackendTask AttemptDispatcher::make_task(const policy::SendAttempt& send,
                                          const PendingRequest& pending) const {
     BackendTask task;
@@ -169,16 +164,10 @@
     return pending && pending->response_started;
 }
 
-// When the answer to a task that has reached its deadline is to be looked at again; nullopt: it is overdue.
+// When a task that has reached its deadline is to be looked at again; nullopt: it is ended now.
 std::optional<Time> AttemptDispatcher::extended_deadline(const BackendTask& task) {
     if (!is_response_started(task)) return std::nullopt;
-    Time now = core_.clock.now();
-    Time due = answer_due(task, true);
-    if (now < due) return due;
-    // A client that reads slowly has a time limit of its own (adapters/session.hpp).
-    const PendingRequest* pending = core_.requests.find_unanswered(task.request);
-    if (pending && pending->awaits_client) return now + kSlowClientInterval;
-    return std::nullopt;
+    return next_look_at_started(*core_.requests.find(task.request), core_.clock.now());
 }
 
 // Ends a task with status `if_sent` if it was on a connection, or `if_waiting` if it waited for one. False:
--- a/src/routing/attempt_outcomes.cpp
+++ b/src/routing/attempt_outcomes.cpp
@@ -154,6 +154,7 @@
     if (!pending) return false;
     bool has_room = pending->responder->on_answer_piece(bytes);
     pending->awaits_client = !has_room;
+    pending->response_bytes += bytes.size();
     return has_room;
 }
 
--- a/src/routing/pending_request.hpp
+++ b/src/routing/pending_request.hpp
@@ -21,6 +21,9 @@
     bool finished = false;          // no answer is owed and no attempt is in flight
     bool response_started = false;  // the client has received part of a long value
     bool awaits_client = false;     // the client has to read before it can be sent more of it
+    // Bytes of a long value that were passed on, and how many they were at the last look at its progress.
+    std::uint64_t response_bytes = 0;
+    std::uint64_t response_bytes_at_look = 0;
     RetryRule retry_rule;
     // The latest commit of the request's session that was answered after the request arrived.
     std::optional<std::int64_t> newer_commit_unix_ms;
