Test peers: the accepting thread is joined as a member of its own

Found in reading: the destructor of EndlessServer joined the first element of a vector that the accepting thread may still enlarge, a data race.

--- a/tests/support/endless_sender.hpp
+++ b/tests/support/endless_sender.hpp
@@ -41,13 +41,13 @@
         socklen_t size = sizeof at;
         ::getsockname(listener_, reinterpret_cast<sockaddr*>(&at), &size);
         address_ = "127.0.0.1:" + std::to_string(ntohs(at.sin_port));
-        threads_.emplace_back([this] { accept_all(); });
+        acceptor_ = std::thread([this] { accept_all(); });
     }
     ~EndlessServer() {
         stop_ = true;
         ::shutdown(listener_, SHUT_RDWR);
-        threads_.front().join();
-        for (std::size_t i = 1; i < threads_.size(); ++i) threads_[i].join();
+        acceptor_.join();  // adds no further thread from here on
+        for (std::thread& thread : threads_) thread.join();
         ::close(listener_);
     }
     const std::string& address() const { return address_; }
@@ -89,7 +89,8 @@
     int listener_ = -1;
     std::atomic<bool> stop_{false};
     std::atomic<int> begun_{0};
-    std::vector<std::thread> threads_;  // the first one accepts
+    std::thread acceptor_;
+    std::vector<std::thread> threads_;  // one for each connection; added by `acceptor_`
 };
 
 // Clients that send `chunk` without an end, each on a connection of its own, after `hello`. Another thread of
