--- a/review/common-2/rig.hpp
+++ b/review/common-2/rig.hpp
@@ -262,6 +262,7 @@
     std::string name;
     std::atomic<bool> primary{false};
     std::atomic<double> work_ms{40};
+    std::atomic<double> lag_ms{5};  // how far a replica is behind its primary
     std::atomic<int> health_checks{0};
     int group = 1;
     std::string zone = "a";
@@ -287,8 +288,10 @@
         std::lock_guard lock(mutex_);
         values_[key] = value;
     }
+    // The time up to which it has applied the log.
+    std::int64_t position() const { return unix_ms() - (primary ? 0 : std::int64_t(lag_ms)); }
     std::string state_parameters() const {
-        return parameter("recovery", primary ? "off" : "on") + parameter("lsn_ms", std::to_string(unix_ms()));
+        return parameter("recovery", primary ? "off" : "on") + parameter("lsn_ms", std::to_string(position()));
     }
     std::string answer(const std::string& sql) {
         if (!is_write(sql))
@@ -332,7 +335,7 @@
             std::string sql = text_of(*next);
             if (sql == "SHOW health") {
                 ++health_checks;
-                std::int64_t position = unix_ms();
+                std::int64_t position = this->position();
                 char report[96];
                 std::snprintf(report, sizeof report, "x0=%lld.%03lld,x1=%d,inflight=0",
                               (long long)(position / 1000), (long long)(position % 1000), primary ? 1 : 0);
@@ -456,6 +459,7 @@
                                    {"stamp", "update", "dedup", 0, 600, 2000, 2000, 6}};
     std::string checks = "hold", marks = "router", mode = "automatic";
     double drain_grace_ms = 2000;
+    bool stamps = true;  // whether every answer tells a position
     std::string safety_extra = "", tenants = "{\"name\":\"north\",\"quotaRps\":100,\"share\":1}";
     int fleet = 3;
 
@@ -481,7 +485,7 @@
                list + "],\"domainType\":\"replicas\",\"familyInfo\":{\"consistency\":[" + reads +
                "],\"oldestDataMs\":[" + bounds + "],\"patienceMs\":50.0,\"roleListed\":\"delayed\"," +
                "\"serverChecks\":\"" + checks + "\",\"sessionMarks\":\"" + marks +
-               "\",\"stamps\":true},\"fleetSize\":" + std::to_string(fleet) +
+               "\",\"stamps\":" + (stamps ? "true" : "false") + "},\"fleetSize\":" + std::to_string(fleet) +
                ",\"myZone\":0,\"registryMode\":\"" + mode +
                "\",\"reporting\":{\"fields\":[\"x0\",\"x1\",\"concurrent\"],\"how\":\"pull\"}," +
                "\"safety\":{\"askWithinMs\":10000.0,\"coldFrom\":0.2,\"drainGraceMs\":" +
@@ -503,6 +507,7 @@
     int port = free_port();
     pid_t pid = -1;
     std::string settings;
+    std::string options;  // further ones of the command line
     std::string config_path = scratch() + "/config.json", log_path = scratch() + "/pooler.log";
 
     void write_config(int discovery_port, const std::string& known, int memory_mb = 192, int sockets = 1024) {
@@ -517,6 +522,7 @@
     // Starts the deploy file's `run` by /bin/sh -c from the repository's root.
     void start() {
         std::string command = std::getenv("RUN") ? std::getenv("RUN") : "";
+        if (!command.empty()) command += options;
         std::string root = std::getenv("ROOT") ? std::getenv("ROOT") : ".";
         if (command.empty()) finish(2, "RUN is not set");
         std::string folder = scratch() + "/pooler.tmp";
