--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,3 @@
+#!/bin/sh
+folder=$(cd "$(dirname "$0")" && pwd)
+. "$folder/../common-2/run-case.sh"
