--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,3 +1,6 @@
 #!/bin/sh
+# TROUBLE=0 does the same without the disruption: the ten bad clients send plain writes of the same length.
+TROUBLE="${TROUBLE:-1}"
+export TROUBLE
 folder=$(cd "$(dirname "$0")" && pwd)
 . "$folder/../common-2/run-case.sh"
--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -1,3 +1,6 @@
 #!/bin/sh
+# TROUBLE=0 does the same without the disruption: no host's connection is reset.
+TROUBLE="${TROUBLE:-1}"
+export TROUBLE
 folder=$(cd "$(dirname "$0")" && pwd)
 . "$folder/../common-2/run-case.sh"
--- a/review/common-2/rig.hpp
+++ b/review/common-2/rig.hpp
@@ -544,6 +544,7 @@
             ::execl("/bin/sh", "sh", "-c", command.c_str(), nullptr);
             _exit(127);
         }
+        record(trouble() ? "TROUBLE=1: with the disruption" : "TROUBLE=0: without the disruption");
         record("pooler started at %s: %s", at(port).c_str(), command.c_str());
     }
     void signal(int number) const {
--- a/review/common-2/run-case.sh
+++ b/review/common-2/run-case.sh
@@ -8,7 +8,7 @@
     exit 2
 }
 SCRATCH=$(mktemp -d) || exit 2
-export ROOT RUN SCRATCH RECORD="$folder/record.txt" TROUBLE="${TROUBLE:-1}"
+export ROOT RUN SCRATCH RECORD="$folder/record.txt"
 timeout -k 2 115 "$case_program"
 status=$?
 [ -n "${KEEP_LOG:-}" ] && cp "$SCRATCH/pooler.log" "$KEEP_LOG"
