--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -94,9 +94,10 @@
     if (pooler.has_ended(status)) finish(1, "the pooler has ended");
     if (total < 100 && late == 0) finish(2, "too few requests");
     char text[200];
-    std::snprintf(text, sizeof text,
-                  "%d of %d requests of sound clients had no answer half a second after their time; served %d, "
-                  "longest %.0f ms",
-                  int(late), int(total), int(served), double(longest));
+    std::snprintf(
+        text, sizeof text,
+        "%d of %d requests of sound clients had no answer half a second after their time; served %d, "
+        "longest %.0f ms",
+        int(late), int(total), int(served), double(longest));
     finish(late > 0 ? 1 : 0, text);
 }
--- a/review/common-2/rig.hpp
+++ b/review/common-2/rig.hpp
@@ -63,7 +63,8 @@
 inline FILE* record_file = nullptr;
 inline void record(const char* format, ...) {
     std::lock_guard lock(record_mutex);
-    if (!record_file) record_file = std::fopen(std::getenv("RECORD") ? std::getenv("RECORD") : "record.txt", "w");
+    if (!record_file)
+        record_file = std::fopen(std::getenv("RECORD") ? std::getenv("RECORD") : "record.txt", "w");
     if (!record_file) return;
     std::fprintf(record_file, "%10.1f  ", now_ms());
     va_list arguments;
@@ -292,7 +293,8 @@
     // The time up to which it has applied the log.
     std::int64_t position() const { return unix_ms() - (primary ? 0 : std::int64_t(lag_ms)); }
     std::string state_parameters() const {
-        return parameter("recovery", primary ? "off" : "on") + parameter("lsn_ms", std::to_string(position()));
+        return parameter("recovery", primary ? "off" : "on") +
+               parameter("lsn_ms", std::to_string(position()));
     }
     std::string answer(const std::string& sql) {
         if (!is_write(sql))
@@ -409,8 +411,10 @@
             std::string line = head.substr(0, head.find("\r\n"));
             std::int64_t from = -1;
             double hold = 0;
-            if (auto at = line.find("from="); at != std::string::npos) from = std::atoll(line.c_str() + at + 5);
-            if (auto at = line.find("hold_ms="); at != std::string::npos) hold = std::atof(line.c_str() + at + 8);
+            if (auto at = line.find("from="); at != std::string::npos)
+                from = std::atoll(line.c_str() + at + 5);
+            if (auto at = line.find("hold_ms="); at != std::string::npos)
+                hold = std::atof(line.c_str() + at + 8);
             sleep_ms(delay_ms);
             std::string body;
             {
@@ -421,8 +425,9 @@
                            ? text()
                            : "{\"rev\":" + std::to_string(revision_) + ",\"all\":false,\"targets\":[]}";
             }
-            bool whole = send_all(fd, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " +
-                                          std::to_string(body.size()) + "\r\n\r\n" + body);
+            bool whole =
+                send_all(fd, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: " +
+                                 std::to_string(body.size()) + "\r\n\r\n" + body);
             record("discovery answered '%s'%s", line.c_str(), whole ? "" : " (the caller had gone)");
             if (!whole) break;
         }
@@ -579,10 +584,12 @@
 inline std::string read_statement(const std::string& id, const std::string& name_of_class, int wait_ms,
                                   const std::string& key, int group = 1, const std::string& more = "") {
     return "/* id=" + id + ",c=" + name_of_class + ",t=north,d=" + std::to_string(wait_ms) +
-           ",cluster=" + std::to_string(group) + more + " */ SELECT content FROM kv WHERE name = '" + key + "'";
+           ",cluster=" + std::to_string(group) + more + " */ SELECT content FROM kv WHERE name = '" + key +
+           "'";
 }
 inline std::string write_statement(const std::string& id, const std::string& name_of_class, int wait_ms,
-                                   const std::string& key, const std::string& idempotency_key, int group = 1) {
+                                   const std::string& key, const std::string& idempotency_key,
+                                   int group = 1) {
     return "/* id=" + id + ",c=" + name_of_class + ",t=north,d=" + std::to_string(wait_ms) +
            ",k=" + idempotency_key + ",cluster=" + std::to_string(group) +
            " */ INSERT INTO kv (name, content) VALUES ('" + key + "', '\\x9f03') RETURNING content";
@@ -663,7 +670,7 @@
             if (next->type == 'I') is_complete = has_row = true;
             if (next->type != 'Z') continue;
             out.kind = !out.code.empty() ? (out.code == "53300" || out.code == "57P03" ? Answer::Kind::refused
-                                                                                      : Answer::Kind::failed)
+                                                                                       : Answer::Kind::failed)
                        : has_row && is_complete ? Answer::Kind::served
                                                 : Answer::Kind::failed;
             break;
--- a/review/common-2/zone_returns.cpp
+++ b/review/common-2/zone_returns.cpp
@@ -24,7 +24,8 @@
     pooler.start();
     await_ready(pooler);
     std::atomic<bool> stop{false};
-    std::atomic<int> phase{0};  // 0 before the cut, 1 up to 3 s after the hosts are listed again, 2 after that
+    std::atomic<int> phase{
+        0};  // 0 before the cut, 1 up to 3 s after the hosts are listed again, 2 after that
     std::atomic<int> writes_served[3] = {0, 0, 0}, writes_asked[3] = {0, 0, 0};
     std::vector<std::thread> clients;
     for (int i = 0; i < 12; ++i)
@@ -78,9 +79,10 @@
     for (Host* host : of_zone_b)
         for (const Sent& statement : host->sent()) sent += statement.at > since;
     char text[300];
-    std::snprintf(text, sizeof text,
-                  "writes served before the cut %d of %d, from 3 to 28 s after the hosts were listed again %d of %d; "
-                  "statements at hosts of zone b in that time: %d",
-                  int(writes_served[0]), int(writes_asked[0]), int(writes_served[2]), int(writes_asked[2]), sent);
+    std::snprintf(
+        text, sizeof text,
+        "writes served before the cut %d of %d, from 3 to 28 s after the hosts were listed again %d of %d; "
+        "statements at hosts of zone b in that time: %d",
+        int(writes_served[0]), int(writes_asked[0]), int(writes_served[2]), int(writes_asked[2]), sent);
     finish(sent == 0 ? 1 : 0, text);
 }
