--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -1,4 +1,5 @@
-// Three of ten hosts, the replicas of one group, restart cold; clients retry at once. Do they get too much?
+// A zone of three of the ten hosts, the replicas of one group, restarts cold; clients retry at once. Too much
+// for them?
 #include <cmath>
 #include <random>
 
@@ -59,7 +60,7 @@
         machines.push_back(std::make_unique<Machine>());
         Machine& machine = *machines.back();
         auto host = std::make_unique<Host>("h" + std::to_string(i));
-        host->zone = std::string(1, char('a' + i % 3));
+        host->zone = i >= 1 && i <= kReplicas ? "b" : i % 2 ? "a" : "c";
         host->group = i <= kReplicas ? 1 : 2;
         host->primary = i == 0 || i == 1 + kReplicas;
         bool primary = host->primary;
