A retiring session answers what has arrived by then and reads no more

Cause: the next command was taken before the session looked whether it retires, and a session was closed only in a moment with nothing unread, which never came.

--- a/src/adapters/client_listener.cpp
+++ b/src/adapters/client_listener.cpp
@@ -41,14 +41,16 @@
 void ClientListener::resume_service() {
     is_retiring_ = is_failing_checks_ = false;
     retirement_timer_.cancel();
+    for (const auto& [sequence, session] : sessions_) session->resume_service();
 }
 
 // A new connection gets time for its first request, which may already be on its way when the listener
 // retires.
 bool ClientListener::is_retiring(const Session& session) const {
     constexpr auto kFirstRequestGrace = std::chrono::milliseconds(300);
-    auto now = std::chrono::steady_clock::now();
-    return is_retiring_ && (session.has_been_served || now >= session.accepted_at + kFirstRequestGrace);
+    if (!is_retiring_) return false;
+    return session.has_been_served ||
+           std::chrono::steady_clock::now() >= session.accepted_at + kFirstRequestGrace;
 }
 
 void ClientListener::close_retiring_sessions() {
--- a/src/adapters/client_listener.hpp
+++ b/src/adapters/client_listener.hpp
@@ -48,7 +48,8 @@
     bool grant_capacity(Session& session, std::size_t bytes);
     /// Returns the bytes that were reserved for the session's long message.
     void release_capacity(Session& session);
-    /// Whether the session is to close when it is idle. A new one first has some time to send a request.
+    /// Whether the session is to close when it has answered what has arrived. A new one first has some time
+    /// to send a request.
     bool is_retiring(const Session& session) const;
     /// Updates the sum of the sessions' bytes. Returns whether the sum is over its limit and this session has
     /// a large part in it.
