Every second call to a slow discovery waits as long as a watch

Cause: a call for the complete list was given up after 1 s (1.2 s where discovery is shared), and so was each one after it. Change: after a call that was not answered in time the next one waits for hold + slack, in turn. The sum within which a change is told stays as it is for a discovery that answers within a second. Result: the new case of watch_fleet_test failed on the code before (62 s without being heard), heard within 6 s now.

--- a/src/routing/watch_schedule.cpp
+++ b/src/routing/watch_schedule.cpp
@@ -50,14 +50,16 @@
 }
 
 WatchSchedule::Call WatchSchedule::next() const {
-    if (!revision_) return {std::nullopt, Millis(0), timing_.whole};
+    Millis patience = is_patient_ ? timing_.hold + timing_.slack : timing_.whole;
+    if (!revision_) return {std::nullopt, Millis(0), patience};
     Millis hold = watching_ || timing_.resume_with_watch ? timing_.hold : Millis(0);
-    return {revision_, hold, hold + (watching_ ? timing_.slack : timing_.whole)};
+    return {revision_, hold, watching_ ? hold + timing_.slack : std::max(hold + timing_.whole, patience)};
 }
 
 void WatchSchedule::answered(std::int64_t revision) {
     revision_ = revision;
     watching_ = true;
+    is_patient_ = false;
     backoff_ = {};
 }
 
@@ -66,6 +68,7 @@
 WatchSchedule::Millis WatchSchedule::failed(Failure failure, double draw) {
     bool was_watching = std::exchange(watching_, false);
     if (was_watching) return timing_.retry;
+    if (failure == Failure::no_response) is_patient_ = !is_patient_;
     if (failure == Failure::no_response) return jittered(timing_.retry, draw);
     if (backoff_.count() == 0) backoff_ = timing_.again;
     Millis pause = jittered(backoff_, draw);
@@ -75,7 +78,7 @@
 
 void WatchSchedule::restart() {
     forget();
-    watching_ = false;
+    watching_ = is_patient_ = false;
     backoff_ = {};
 }
 
