Requests that get their id here begin at a random number, not at 1

Cause: each front counted from 0. Change: the number begins at random, in the part that all fronts share. Result: the new case of session_consistency_test gave 3 ids for 6 requests of two poolers with the count from 0, and gives 6.

--- a/src/adapters/client_listener.cpp
+++ b/src/adapters/client_listener.cpp
@@ -4,16 +4,25 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
+#include <random>
 #include <utility>
 #include <vector>
 
 namespace indigovane::adapters {
 
+namespace {
+std::uint64_t random_number() {
+    std::random_device random;
+    return std::uint64_t(random()) << 32 | random();
+}
+}  // namespace
+
 ClientListener::ClientListener(boost::asio::io_context& io, const transport::ListenAt& at,
                                std::size_t max_connections)
     : io_(io),
       listener_(io, at, [this](auto socket) { accept_socket(std::move(socket)); }),
       max_connections_(max_connections),
+      last_request_number_(random_number()),
       retirement_timer_(io) {}
 
 ClientListener::~ClientListener() {
--- a/src/adapters/client_listener.hpp
+++ b/src/adapters/client_listener.hpp
@@ -67,6 +67,9 @@
 
   protected:
     virtual std::shared_ptr<Session> create_session() = 0;
+    /// A number for the id of a request whose client gives none. The first one is random: each request needs
+    /// an id of its own among all poolers, and after a restart too.
+    std::uint64_t next_request_number() { return ++last_request_number_; }
 
   private:
     void accept_socket(boost::asio::ip::tcp::socket socket);
@@ -88,6 +91,7 @@
 
     std::size_t max_long_bytes_ = 32 << 20, granted_long_bytes_ = 0;
     std::map<Session*, std::weak_ptr<Session>> waiting_for_capacity_;  // each for a long message
+    std::uint64_t last_request_number_;
     bool is_retiring_ = false, is_failing_checks_ = false;
     boost::asio::steady_timer retirement_timer_;
 };
--- a/src/adapters/rest_front.cpp
+++ b/src/adapters/rest_front.cpp
@@ -301,7 +301,7 @@
 
 std::string RestFront::next_request_id() {
     char text[17];
-    std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(++last_request_number_));
+    std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(next_request_number()));
     return text;
 }
 
--- a/tests/adapters/session_consistency_test.cpp
+++ b/tests/adapters/session_consistency_test.cpp
@@ -1,5 +1,6 @@
 // A session's reads see its own writes, including writes that are answered while the read waits.
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -227,6 +228,22 @@
     CHECK(fixture.sent()->endpoint == EndpointId{2});
 }
 
+// Guards against ids that each pooler counts from 1 on, again after each start.
+TEST_CASE("requests without an id get ids of their own, also at another pooler") {
+    std::set<std::string> ids;
+    for (int pooler = 0; pooler < 2; ++pooler) {
+        PendingFronts fixture;
+        RawClient reader(fixture.loop, fixture.rest.local());
+        for (std::size_t i = 0; i < 3; ++i) {
+            reader.send(http::write_request("GET", "/v1/clusters/1/kv/a?class=stock-view", "h", {}));
+            REQUIRE(fixture.wait_for_requests(i + 1));
+            fixture.serve(i);
+            ids.insert(fixture.admission.requests[i].id);
+        }
+    }
+    CHECK(ids.size() == 6);
+}
+
 TEST_CASE("the requests of clients that can't send a session token say so") {
     PendingFronts fixture;
     RawClient reader(fixture.loop, fixture.rest.local());
