--- a/src/adapters/client_listener.cpp
+++ b/src/adapters/client_listener.cpp
@@ -4,25 +4,16 @@
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
-#include <random>
 #include <utility>
 #include <vector>
 
 namespace indigovane::adapters {
 
-namespace {
-std::uint64_t random_number() {
-    std::random_device random;
-    return std::uint64_t(random()) << 32 | random();
-}
-}  // namespace
-
 ClientListener::ClientListener(boost::asio::io_context& io, const transport::ListenAt& at,
                                std::size_t max_connections)
     : io_(io),
       listener_(io, at, [this](auto socket) { accept_socket(std::move(socket)); }),
       max_connections_(max_connections),
-      last_request_number_(random_number()),
       retirement_timer_(io) {}
 
 ClientListener::~ClientListener() {
@@ -50,16 +41,14 @@
 void ClientListener::resume_service() {
     is_retiring_ = is_failing_checks_ = false;
     retirement_timer_.cancel();
-    for (const auto& [sequence, session] : sessions_) session->resume_service();
 }
 
 // A new connection gets time for its first request, which may already be on its way when the listener
 // retires.
 bool ClientListener::is_retiring(const Session& session) const {
     constexpr auto kFirstRequestGrace = std::chrono::milliseconds(300);
-    if (!is_retiring_) return false;
-    return session.has_been_served ||
-           std::chrono::steady_clock::now() >= session.accepted_at + kFirstRequestGrace;
+    auto now = std::chrono::steady_clock::now();
+    return is_retiring_ && (session.has_been_served || now >= session.accepted_at + kFirstRequestGrace);
 }
 
 void ClientListener::close_retiring_sessions() {
--- a/src/adapters/client_listener.hpp
+++ b/src/adapters/client_listener.hpp
@@ -48,8 +48,7 @@
     bool grant_capacity(Session& session, std::size_t bytes);
     /// Returns the bytes that were reserved for the session's long message.
     void release_capacity(Session& session);
-    /// Whether the session is to close when it has answered what has arrived. A new one first has some time
-    /// to send a request.
+    /// Whether the session is to close when it is idle. A new one first has some time to send a request.
     bool is_retiring(const Session& session) const;
     /// Updates the sum of the sessions' bytes. Returns whether the sum is over its limit and this session has
     /// a large part in it.
@@ -67,9 +66,6 @@
 
   protected:
     virtual std::shared_ptr<Session> create_session() = 0;
-    /// A number for the id of a request whose client gives none. The first one is random: each request needs
-    /// an id of its own among all poolers, and after a restart too.
-    std::uint64_t next_request_number() { return ++last_request_number_; }
 
   private:
     void accept_socket(boost::asio::ip::tcp::socket socket);
@@ -91,7 +87,6 @@
 
     std::size_t max_long_bytes_ = 32 << 20, granted_long_bytes_ = 0;
     std::map<Session*, std::weak_ptr<Session>> waiting_for_capacity_;  // each for a long message
-    std::uint64_t last_request_number_;
     bool is_retiring_ = false, is_failing_checks_ = false;
     boost::asio::steady_timer retirement_timer_;
 };
--- a/src/adapters/pg_front.cpp
+++ b/src/adapters/pg_front.cpp
@@ -356,7 +356,7 @@
 }
 
 std::string PgFront::next_request_id() {
-    return "o" + std::to_string(next_request_number());
+    return "o" + std::to_string(++last_request_number_);
 }
 
 }  // namespace indigovane::adapters
--- a/src/adapters/pg_front.hpp
+++ b/src/adapters/pg_front.hpp
@@ -41,6 +41,7 @@
     routing::RequestAdmission& admission_;
     routing::Logger& logger_;
     Statements* statements_;  // nullptr: only statements of the known forms are served
+    std::uint64_t last_request_number_ = 0;
 };
 
 }  // namespace indigovane::adapters
--- a/src/adapters/pg_request.cpp
+++ b/src/adapters/pg_request.cpp
@@ -1,7 +1,6 @@
 #include "adapters/pg_request.hpp"
 
 #include <algorithm>
-#include <vector>
 
 #include "adapters/text_values.hpp"
 
@@ -48,19 +47,14 @@
     return std::nullopt;
 }
 
-// All clients wait while a comment is checked, so the work for one is bounded: the number of fields is
-// limited, and the names are sorted instead of compared pair by pair.
 std::optional<PgRejection> find_duplicate_field(const pg::Statement& statement) {
-    if (statement.fields.size() > pg::Statement::kMaxFields)
-        return invalid("the comment holds more than " + std::to_string(pg::Statement::kMaxFields) +
-                       " fields");
-    std::vector<std::string_view> names;
-    names.reserve(statement.fields.size());
-    for (const auto& [name, value] : statement.fields) names.push_back(name);
-    std::sort(names.begin(), names.end());
-    auto duplicate = std::adjacent_find(names.begin(), names.end());
-    if (duplicate == names.end()) return std::nullopt;
-    return invalid("the comment names '" + std::string(duplicate->substr(0, 64)) + "' twice");
+    const auto& fields = statement.fields;
+    for (std::size_t i = 0; i < fields.size(); ++i)
+        for (std::size_t j = 0; j < i; ++j)
+            if (fields[i].first == fields[j].first)
+                return invalid("the comment names '" + std::string(fields[i].first.substr(0, 64)) +
+                               "' twice");
+    return std::nullopt;
 }
 
 // Returns what is wrong with a literal's value, or nullptr. It is valid in bytea's hex form, and as bytes
@@ -204,7 +198,6 @@
     // Without a session field the connection is the session: its reads see its own writes.
     if (request_class->is_write || request_class->has_session_consistency)
         request.session = session_number(statement.field("s").value_or(defaults.peer_address));
-    request.uses_remembered_token = request.session && !request.after_unix_ms;
     request.may_write = request_class->is_write;
     request.is_barred_from_reserve = is_read && !request_class->has_session_consistency;
     request.has_no_comment_fields = statement.fields.empty();
--- a/src/adapters/rest_front.cpp
+++ b/src/adapters/rest_front.cpp
@@ -146,10 +146,7 @@
         client_request.class_name = request_class->name;
         client_request.group = GroupId{*group};
         client_request.tenant = query_.tenant;
-        if (request_class->has_session_consistency) {
-            client_request.session = session_number(query_.session);
-            client_request.uses_remembered_token = true;  // no parameter carries one
-        }
+        if (request_class->has_session_consistency) client_request.session = session_number(query_.session);
         auto id = request.field("request-id");
         if (id && (id->empty() || id->size() > 64 || !is_plain_token(*id)))
             return invalid("Request-Id must be 1 to 64 letters, digits or - _ . :");
@@ -244,8 +241,7 @@
 
     std::string format_response(int status, std::vector<http::Field> fields, const std::string& body) {
         log(status);
-        return http::write_response(status, fields, body, keeps_alive_ && !is_past_retirement(),
-                                    is_head_request_);
+        return http::write_response(status, fields, body, keeps_alive_ && !is_retiring(), is_head_request_);
     }
     std::string format_response(const Problem& problem, std::vector<http::Field> fields) {
         json body{{"type", "urn:indigovane:problem:" + problem.type},
@@ -258,11 +254,11 @@
     }
     void respond(int status, std::vector<http::Field> fields, const std::string& body) {
         write(format_response(status, std::move(fields), body));
-        if (!keeps_alive_ || is_past_retirement()) close_gracefully();
+        if (!keeps_alive_ || is_retiring()) close_gracefully();
     }
     void respond(const Problem& problem, std::vector<http::Field> fields) {
         write(format_response(problem, std::move(fields)));
-        if (!keeps_alive_ || is_past_retirement()) close_gracefully();
+        if (!keeps_alive_ || is_retiring()) close_gracefully();
     }
     void respond_to_submitted(int status, std::vector<http::Field> fields, const std::string& body) {
         send_last_bytes(format_response(status, std::move(fields), body));
@@ -271,7 +267,7 @@
         send_last_bytes(format_response(problem, std::move(fields)));
     }
     void send_last_bytes(std::string bytes) {
-        if (keeps_alive_ && !is_past_retirement()) return finish_response(std::move(bytes));
+        if (keeps_alive_ && !is_retiring()) return finish_response(std::move(bytes));
         write(std::move(bytes));
         close_gracefully();
     }
@@ -301,7 +297,7 @@
 
 std::string RestFront::next_request_id() {
     char text[17];
-    std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(next_request_number()));
+    std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(++last_request_number_));
     return text;
 }
 
--- a/src/adapters/rest_front.hpp
+++ b/src/adapters/rest_front.hpp
@@ -46,6 +46,7 @@
     RestOptions options_;
     routing::RequestAdmission& admission_;
     routing::Logger& logger_;
+    std::uint64_t last_request_number_ = 0;
 };
 
 }  // namespace indigovane::adapters
--- a/src/adapters/session.cpp
+++ b/src/adapters/session.cpp
@@ -43,14 +43,11 @@
 }
 
 void Session::close_if_retiring() {
-    if (is_past_retirement() && state_ == State::idle) close_gracefully();
+    if (is_retiring() && state_ == State::idle && !connection_->readable()) close_gracefully();
 }
 
-bool Session::is_past_retirement() {
-    if (!client_listener_.is_retiring(*this)) return false;
-    std::uint64_t consumed = input_ ? input_->consumed() : 0;
-    if (!arrived_at_retirement_) arrived_at_retirement_ = consumed + connection_->arrived_bytes();
-    return consumed >= *arrived_at_retirement_;
+bool Session::is_retiring() const {
+    return client_listener_.is_retiring(*this);
 }
 
 bool Session::is_failing_checks() const {
@@ -98,9 +95,9 @@
     client_listener_.remove_session(self);
 }
 
-bool Session::may_process_message() {
+bool Session::may_process_message() const {
     return input_ && !input_->empty() && state_ == State::idle && !is_held_back() &&
-           connection_->unwritten() <= limits_.unwritten_bytes && !is_past_retirement();
+           connection_->unwritten() <= limits_.unwritten_bytes;
 }
 
 // Whether nothing more is read from this client and answered to it until it has read what it was sent.
--- a/src/adapters/session.hpp
+++ b/src/adapters/session.hpp
@@ -3,7 +3,6 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
-#include <optional>
 
 #include "routing/interfaces.hpp"
 #include "transport/arrivals.hpp"
@@ -46,12 +45,8 @@
     virtual void restore(char, std::string_view) { has_received_message_ = true; }
     /// Whether no request is served, nothing received is unread and the client has all answers.
     bool is_idle();
-    /// Closes the connection if the listener retires it and all that had arrived by then is answered. What
-    /// arrives later stays unread: a client that always has a further request in flight would otherwise never
-    /// see the end, and the process would end with requests that it has taken and not answered.
+    /// Closes the connection if the listener retires it and no request is served or unread.
     void close_if_retiring();
-    /// Called when the listener serves its clients again.
-    void resume_service() { arrived_at_retirement_.reset(); }
     /// Closes an idle session to make room for another one.
     void evict() { close_gracefully(); }
     /// Closes at once and withdraws a request in flight.
@@ -114,9 +109,8 @@
     std::string peer_address() const;
     bool is_serving() const { return state_ == State::serving; }
     bool is_closed() const { return state_ == State::closed; }
-    /// Whether the listener retires this session and all that had arrived by then is consumed: the connection
-    /// is to be closed after the message that was consumed last.
-    bool is_past_retirement();
+    /// Whether the connection is to be closed after this request.
+    bool is_retiring() const;
     /// Whether health checks are to fail, so that load balancers send clients elsewhere.
     bool is_failing_checks() const;
 
@@ -128,7 +122,7 @@
     void on_closed(const transport::error_code& ec) override;
     bool is_client_present() override { return !connection_->hung_up(); }
     void end_with(routing::RequestAdmission::Departure departure);
-    bool may_process_message();
+    bool may_process_message() const;
     bool is_held_back() const;
     void process_input();
     void update_timeout();
@@ -141,8 +135,6 @@
     transport::Buffer* input_ = nullptr;  // owned by the connection
     transport::Arrivals arrivals_;        // arrival times of the bytes in `input_`
     State state_ = State::idle;
-    // Number of bytes of the stream that had arrived when the listener retired this session.
-    std::optional<std::uint64_t> arrived_at_retirement_;
     routing::RequestId request_id_{};
     std::size_t unread_at_timer_start_ = 0;  // bytes in `input_` when the timer was started
     std::chrono::steady_clock::time_point long_message_since_;
--- a/src/program/graceful_shutdown.cpp
+++ b/src/program/graceful_shutdown.cpp
@@ -15,8 +15,7 @@
 
 // Clients may still connect for this long after the signal: load balancers notice the stop late.
 constexpr auto kLinger = milliseconds(500);
-// Requests that arrive during the drain get the longest deadline of all classes, and kDrainSlack more, at
-// most. The process may stay longer, kMinDrain and kDrainSlack, for answers that clients are still reading.
+// Requests in flight get the longest deadline of all classes, but at least kMinDrain, and kDrainSlack more.
 constexpr auto kMinDrain = std::chrono::seconds(3);
 // The process is killed 700 ms after the longest deadline at the earliest; kLinger takes 500 ms of that.
 constexpr auto kDrainSlack = milliseconds(100);
@@ -60,9 +59,9 @@
 // A request that arrives late gets less time than its client timeout. Requests still in flight at the
 // deadline are answered as well.
 void GracefulShutdown::set_deadline() {
-    Time now = services_.clock.now();
-    services_.core->finish_by(now + services_.config.longest_deadline + kDrainSlack);
-    deadline_ = now + std::max<Duration>(services_.config.longest_deadline, kMinDrain) + kDrainSlack;
+    deadline_ = services_.clock.now() + std::max<Duration>(services_.config.longest_deadline, kMinDrain) +
+                kDrainSlack;
+    services_.core->finish_by(deadline_);
 }
 
 void GracefulShutdown::begin_drain() {
--- a/src/routing/watch_schedule.cpp
+++ b/src/routing/watch_schedule.cpp
@@ -50,16 +50,14 @@
 }
 
 WatchSchedule::Call WatchSchedule::next() const {
-    Millis patience = is_patient_ ? timing_.hold + timing_.slack : timing_.whole;
-    if (!revision_) return {std::nullopt, Millis(0), patience};
+    if (!revision_) return {std::nullopt, Millis(0), timing_.whole};
     Millis hold = watching_ || timing_.resume_with_watch ? timing_.hold : Millis(0);
-    return {revision_, hold, watching_ ? hold + timing_.slack : std::max(hold + timing_.whole, patience)};
+    return {revision_, hold, hold + (watching_ ? timing_.slack : timing_.whole)};
 }
 
 void WatchSchedule::answered(std::int64_t revision) {
     revision_ = revision;
     watching_ = true;
-    is_patient_ = false;
     backoff_ = {};
 }
 
@@ -68,7 +66,6 @@
 WatchSchedule::Millis WatchSchedule::failed(Failure failure, double draw) {
     bool was_watching = std::exchange(watching_, false);
     if (was_watching) return timing_.retry;
-    if (failure == Failure::no_response) is_patient_ = !is_patient_;
     if (failure == Failure::no_response) return jittered(timing_.retry, draw);
     if (backoff_.count() == 0) backoff_ = timing_.again;
     Millis pause = jittered(backoff_, draw);
@@ -78,7 +75,7 @@
 
 void WatchSchedule::restart() {
     forget();
-    watching_ = is_patient_ = false;
+    watching_ = false;
     backoff_ = {};
 }
 
--- a/src/routing/watch_schedule.hpp
+++ b/src/routing/watch_schedule.hpp
@@ -21,7 +21,7 @@
         // How long after `hold` the answer to a watch may arrive.
         Millis slack{1000};
         // How long the answer may take to a call for the complete list, or, after its hold, to the first
-        // watch after a failure. If it is late, every second further call waits for hold + slack.
+        // watch after a failure.
         Millis whole{1000};
         // The pause after a failed watch, or after any call that was not answered. It is below the 200 ms
         // within which a watch has to continue.
@@ -78,9 +78,6 @@
   private:
     Timing timing_;
     bool watching_ = false;  // the last call was answered, so the next one is a watch
-    // The last call, no watch, was not answered in time. The next one waits as long as a watch does: a slow
-    // discovery service would otherwise never be heard.
-    bool is_patient_ = false;
     std::optional<std::int64_t> revision_;
     Millis backoff_{};  // the next pause; zero: no call was rejected since the last answer
 };
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -225,12 +225,8 @@
 }
 
 bool Connection::readable() {
-    return arrived_bytes() > 0;
-}
-
-std::size_t Connection::arrived_bytes() {
     error_code ec;
-    return state_ == State::open ? in_.size() + socket_.available(ec) : 0;
+    return state_ == State::open && (!in_.empty() || socket_.available(ec) > 0);
 }
 
 bool Connection::is_idle() {
--- a/src/transport/connection.hpp
+++ b/src/transport/connection.hpp
@@ -57,8 +57,6 @@
     // Whether the connection is open and there are bytes that the handler has not consumed, here or in the
     // kernel.
     bool readable();
-    // Number of bytes that have arrived and that the handler has not consumed, here and in the kernel.
-    std::size_t arrived_bytes();
     // Whether the other side has closed the connection or shut down its sending direction. Bytes that are
     // still unread do not hide this.
     bool hung_up();
