--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -1,5 +1,5 @@
-// A zone of three of the ten hosts, the replicas of one group, restarts cold; clients retry at once. Too much
-// for them?
+// A zone of three of the ten hosts, the replicas of one group, is lost for 5 s and returns cold; clients
+// retry at once. Too much for them?
 #include <cmath>
 #include <random>
 
@@ -13,7 +13,8 @@
 constexpr int kCores = 3, kWaitingRoom = 60;
 constexpr double kWorkMs = 30;  // of a read on one core
 constexpr double kLoad = 0.9;   // of what the replicas can do
-constexpr int kRetries = 3;
+constexpr int kRetries = 3;     // at once, whatever time a refusal names
+constexpr double kAwayMs = 5000;
 constexpr double kColdFrom = 0.2, kRampMs = 17000, kFallMultiple = 2.5, kFallMs = 2000;
 
 // A host's cores and its waiting room. Cold, it is slower by its share.
@@ -22,27 +23,38 @@
     std::condition_variable core_free;
     int busy = 0, waiting = 0;
     std::atomic<double> started{-1};
+    int life = 0;                  // of the process
     std::vector<double> arrivals;  // since its start
 
     double share_at(double at) const {
         if (started < 0) return 1;
         return std::min(1.0, kColdFrom + (1 - kColdFrom) * (at - started) / kRampMs);
     }
-    // False: turned away.
+    // False: turned away, or the process has died.
     bool work() {
         std::unique_lock lock(mutex);
+        const int mine = life;
         if (waiting >= kWaitingRoom) return false;
         ++waiting;
-        core_free.wait(lock, [&] { return busy < kCores; });
+        core_free.wait(lock, [&] { return busy < kCores || life != mine; });
+        if (life != mine) return false;
         --waiting;
         ++busy;
         lock.unlock();
         sleep_ms(kWorkMs / share_at(now_ms()));
         lock.lock();
+        if (life != mine) return false;
         --busy;
         core_free.notify_one();
         return true;
     }
+    // All that it held is gone.
+    void die() {
+        std::lock_guard lock(mutex);
+        ++life;
+        busy = waiting = 0;
+        core_free.notify_all();
+    }
     // N + 2 x root of N + 2 requests of mean work in kFallMs, N for what it can do at the window's end.
     double allowed(double at) const {
         double n = kFallMultiple * share_at(at) * kCores * kFallMs / kWorkMs;
@@ -108,11 +120,14 @@
                 if (stop) break;
                 ++first_tries;
                 for (int k = 0; k <= kRetries; ++k) {
-                    client.send(
-                        query(read_sql(new_id(), "stock-view", 1000, "7f3a9c21e0b4d655", k ? ",r=1" : "")));
-                    Reply::Kind kind = client.next(1600).kind;
-                    ++(kind == Reply::served ? served : kind == Reply::refused ? refused : other);
-                    if (kind == Reply::served || !client.open()) break;
+                    std::string id = new_id();
+                    record("client %d: sent %s, try %d", c, id.c_str(), k);
+                    client.send(query(read_sql(id, "stock-view", 1000, "7f3a9c21e0b4d655", k ? ",r=1" : "")));
+                    Reply reply = client.next(1600);
+                    record("client %d: %s %s %s, D %d", c, id.c_str(), name(reply.kind), reply.code.c_str(),
+                           reply.come_again_ms);
+                    ++(reply.kind == Reply::served ? served : reply.kind == Reply::refused ? refused : other);
+                    if (reply.kind == Reply::served || !client.open()) break;
                 }
             }
         });
@@ -120,10 +135,17 @@
     record("before: first tries %d, served %d, refused %d, other %d", first_tries.load(), served.load(),
            refused.load(), other.load());
     std::printf("before: first tries %d served %d\n", first_tries.load(), served.load());
+    for (int i = 1; trouble && i <= kReplicas; ++i) {
+        Host& host = *hosts[std::size_t(i)];
+        host.die();
+        machines[std::size_t(i)]->die();
+        record("%s has died", host.uid.c_str());
+    }
+    if (trouble) sleep_ms(kAwayMs);
     for (int i = 1; trouble && i <= kReplicas; ++i) {
         Host& host = *hosts[std::size_t(i)];
         machines[std::size_t(i)]->started = now_ms();
-        host.reset_connections();
+        host.start();
         discovery.set_started(host.uid, unix_ms());
         record("%s has started again, cold; discovery tells it", host.uid.c_str());
     }
--- a/review/common-2/stand_ins.hpp
+++ b/review/common-2/stand_ins.hpp
@@ -72,9 +72,12 @@
     at.sin_port = htons(std::uint16_t(port));
     return at;
 }
+// Listens at `port`, or at a free one that it then sets (0).
 inline int listen_any(int& port) {
     int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    sockaddr_in at = loopback(0);
+    int on = 1;
+    ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    sockaddr_in at = loopback(port);
     socklen_t size = sizeof at;
     if (fd < 0 || ::bind(fd, reinterpret_cast<sockaddr*>(&at), sizeof at) != 0 || ::listen(fd, 512) != 0 ||
         ::getsockname(fd, reinterpret_cast<sockaddr*>(&at), &size) != 0)
@@ -210,20 +213,25 @@
     explicit Host(std::string name) : uid(std::move(name)) { listener_ = listen_any(port_); }
     ~Host() { stop(); }
     void start() {
-        std::thread([this] {
+        if (listener_ < 0) listener_ = listen_any(port_);
+        std::thread([this, listener = listener_] {
             for (;;) {
-                int fd = ::accept4(listener_, nullptr, nullptr, SOCK_CLOEXEC);
-                if (fd < 0) return;
+                int fd = ::accept4(listener, nullptr, nullptr, SOCK_CLOEXEC);
+                if (fd < 0) break;
                 int on = 1;
                 ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
                 std::lock_guard lock(connections_mutex_);
                 connections_.insert(fd);
-                std::thread([this, fd] { talk(fd); }).detach();
+                std::thread([this, fd, life = life_.load()] { talk(fd, life); }).detach();
             }
+            ::close(listener);
         }).detach();
     }
-    // A process that dies and starts again: its connections are reset.
-    void reset_connections() {
+    // The process dies: its connections are reset, what it had is neither done nor answered, and new
+    // connections are refused until start().
+    void die() {
+        ++life_;
+        stop();
         std::lock_guard lock(connections_mutex_);
         linger at_once{1, 0};
         for (int fd : connections_) {
@@ -233,7 +241,10 @@
     }
     void stop() {
         if (listener_ >= 0) ::shutdown(listener_, SHUT_RDWR);
+        listener_ = -1;
     }
+    // Which life of the process this is.
+    int life() const { return life_; }
     std::string address() const { return "127.0.0.1:" + std::to_string(port_); }
     std::string state_parameters() const {
         return parameter("recovery", primary ? "off" : "on") +
@@ -248,10 +259,10 @@
     }
 
   private:
-    void talk(int fd) {
+    void talk(int fd, int life) {
         std::string in;
         bool started = false;
-        for (;;) {
+        while (life == life_) {
             std::size_t length = 0;
             if (!started && in.size() >= 4)
                 length = u32(in.data());
@@ -278,7 +289,7 @@
                 if (!text.empty()) text.pop_back();
                 out = answer(text, fd);
             }
-            if (!out.empty() && !write_all(fd, out)) break;
+            if (life != life_ || (!out.empty() && !write_all(fd, out))) break;
         }
         std::lock_guard lock(connections_mutex_);
         connections_.erase(fd);
@@ -293,11 +304,21 @@
             return columns({"health"}, 0) + row({report}) + complete("SHOW") + ready();
         }
         if (sql.rfind("/*", 0) != 0) return columns({"x"}) + complete("SET") + ready();
+        std::string id = field(sql, "id");
+        record("%s: received %s", uid.c_str(), id.c_str());
         received(*this, sql);
-        return serve(*this, sql, fd);
+        int life = life_;
+        std::string out = serve(*this, sql, fd);
+        if (life != life_)
+            record("%s: %s ended with the process", uid.c_str(), id.c_str());
+        else
+            record("%s: %s %s", uid.c_str(), out.empty() || out[0] == 'E' ? "turned away" : "ran",
+                   id.c_str());
+        return out;
     }
     std::mutex connections_mutex_;
     std::set<int> connections_;
+    std::atomic<int> life_{0};
     int listener_ = -1;
     int port_ = 0;
 };
@@ -457,6 +478,7 @@
 struct Reply {
     enum Kind { none, served, refused, failed, closed } kind = none;
     std::string value, code, text;
+    int come_again_ms = 0;  // the field D of a refusal
 };
 inline const char* name(Reply::Kind kind) {
     static const char* names[] = {"no answer", "served", "refused", "failed", "closed"};
@@ -527,6 +549,7 @@
             std::string text = body.c_str() + at + 1;
             if (kind == 'C') reply.code = text;
             if (kind == 'M') reply.text = text;
+            if (kind == 'D') reply.come_again_ms = std::atoi(text.c_str());
             at += text.size() + 2;
         }
         reply.kind = reply.code == "53300" || reply.code == "57P03" ? Reply::refused : Reply::failed;
