Review: case 6 records each request as sent and answered

Cause: the review's terms have record.txt tell what was sent, answered and run; case 6 told only the bad statements, what hosts received, and late requests. Change: a line for each request sent, answered by the pooler and answered by a host, in the shared stand-ins for case 7 too.

--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -57,10 +57,12 @@
                     int wait = is_own ? 600 : 1000;
                     std::string id = new_id();
                     double sent = now_ms();
+                    record("client %d: sent %s, d=%d", i, id.c_str(), wait);
                     client.send(query_message(read_statement(id, is_own ? "own" : "view", wait,
                                                              "b1a000000000010" + std::to_string(i))));
                     Answer answer = client.answer(sent + wait + kGraceMs);
                     double took = answer.at - sent;
+                    record("client %d: %s %s %s", i, id.c_str(), answer.text(), answer.code.c_str());
                     ++total;
                     if (took > longest) longest = took;
                     if (answer.kind == Answer::Kind::served) ++served;
@@ -85,7 +87,7 @@
         client->send(query_message(sql));
     }
     sleep_ms(5000);
-    record("these clients close their connections");
+    record("these clients close their connections and have read nothing");
     for (auto& client : bad) client->close();
     sleep_ms(18000);
     stop = true;
--- a/review/common-2/rig.hpp
+++ b/review/common-2/rig.hpp
@@ -357,6 +357,7 @@
             record("host %s received %s c=%s d=%s", name.c_str(), field(sql, "id").c_str(),
                    field(sql, "c").c_str(), field(sql, "d").c_str());
             on_statement(connection, sql);
+            record("host %s answered %s", name.c_str(), field(sql, "id").c_str());
         }
         if (connection.is_open) ::close(fd);
     }
