--- a/review/10/case.cpp
+++ b/review/10/case.cpp
@@ -87,8 +87,10 @@
                     std::lock_guard lock(fleet.mutex);
                     fleet.sender[id] = c;
                 }
+                record("client of p%d: sent %s", c, id.c_str());
                 client.send(query(read_sql(id, "stock-view", 1000, "7f3a9c21e0b4d655")));
                 Reply reply = client.next(1600);
+                record("client of p%d: %s %s %s", c, id.c_str(), name(reply.kind), reply.code.c_str());
                 ++(reply.kind == Reply::served ? served : reply.kind == Reply::refused ? refused : other);
                 sleep_ms(20);
             }
