Bound the work for one comment: at most 1,024 fields, sorted instead of compared in pairs

Cause: find_duplicate_field compared each field with each before it, in the only thread, without a limit on their number. Told apart from a cost of the scan or of the log: the same statement with one name given twice at its beginning is answered at once.

--- a/src/adapters/pg_request.cpp
+++ b/src/adapters/pg_request.cpp
@@ -1,6 +1,7 @@
 #include "adapters/pg_request.hpp"
 
 #include <algorithm>
+#include <vector>
 
 #include "adapters/text_values.hpp"
 
@@ -47,14 +48,19 @@
     return std::nullopt;
 }
 
+// All clients wait while a comment is checked, so the work for one is bounded: the number of fields is
+// limited, and the names are sorted instead of compared pair by pair.
 std::optional<PgRejection> find_duplicate_field(const pg::Statement& statement) {
-    const auto& fields = statement.fields;
-    for (std::size_t i = 0; i < fields.size(); ++i)
-        for (std::size_t j = 0; j < i; ++j)
-            if (fields[i].first == fields[j].first)
-                return invalid("the comment names '" + std::string(fields[i].first.substr(0, 64)) +
-                               "' twice");
-    return std::nullopt;
+    if (statement.fields.size() > pg::Statement::kMaxFields)
+        return invalid("the comment holds more than " + std::to_string(pg::Statement::kMaxFields) +
+                       " fields");
+    std::vector<std::string_view> names;
+    names.reserve(statement.fields.size());
+    for (const auto& [name, value] : statement.fields) names.push_back(name);
+    std::sort(names.begin(), names.end());
+    auto duplicate = std::adjacent_find(names.begin(), names.end());
+    if (duplicate == names.end()) return std::nullopt;
+    return invalid("the comment names '" + std::string(duplicate->substr(0, 64)) + "' twice");
 }
 
 // Returns what is wrong with a literal's value, or nullptr. It is valid in bytea's hex form, and as bytes
--- a/src/protocol/pg_statement.cpp
+++ b/src/protocol/pg_statement.cpp
@@ -35,7 +35,7 @@
         }
         s.comment = sql.substr(0, end + 2);
         std::string_view fields = trim(sql.substr(2, end - 2));
-        while (!fields.empty()) {
+        while (!fields.empty() && s.fields.size() <= Statement::kMaxFields) {
             std::size_t comma = fields.find(',');
             std::string_view part = trim(fields.substr(0, comma));
             fields = comma == std::string_view::npos ? std::string_view{} : fields.substr(comma + 1);
--- a/src/protocol/pg_statement.hpp
+++ b/src/protocol/pg_statement.hpp
@@ -14,6 +14,10 @@
 // A statement and its leading comment, as views into the text. The comment holds fields, such as
 // "/* id=9b,d=480 */".
 struct Statement {
+    // No request uses nearly as many fields. read_statement() reads one more at most, so that a comment of
+    // millions of them takes neither time nor memory.
+    static constexpr std::size_t kMaxFields = 1024;
+
     std::vector<std::pair<std::string_view, std::string_view>> fields;
     // With its delimiters; empty if there is no comment.
     std::string_view comment;
--- a/tests/adapters/pg_request_test.cpp
+++ b/tests/adapters/pg_request_test.cpp
@@ -57,6 +57,19 @@
           "the statement does not fit its class");
 }
 
+// Guards against one comment with very many fields, whose check held the only thread for seconds.
+TEST_CASE("a comment with more fields than any request uses is rejected before its fields are compared") {
+    auto with_fields = [](int unknown_fields, const std::string& last = {}) {
+        std::string sql = "/* id=a,c=basket,cluster=2";
+        for (int i = 0; i < unknown_fields; ++i) sql += ",x" + std::to_string(i) + "=1";
+        return sql + last + " */ SELECT content FROM kv WHERE name = 'x'";
+    };
+    CHECK(rejection_of(with_fields(1021)).empty());  // 1,024 in all
+    CHECK(rejection_of(with_fields(1000, ",x0=2")) == "the comment names 'x0' twice");
+    CHECK(rejection_of(with_fields(1022)) == "the comment holds more than 1024 fields");
+    CHECK(rejection_of(with_fields(26000)) == "the comment holds more than 1024 fields");
+}
+
 TEST_CASE("a page request of the REST front is sent to a PostgreSQL host as the equivalent statement") {
     routing::ClientRequest request;
     request.verb = routing::ClientRequest::Verb::page;
