--- a/src/policy/slow_start.hpp
+++ b/src/policy/slow_start.hpp
@@ -4,7 +4,8 @@
 // ramp. If it gets more than a multiple of that share for a while, it breaks down. Each pooler sends it only
 // that share of the requests that it would get otherwise. A random number, drawn once per request, decides
 // which: all poolers together stay within the limit without communication, and a queued request passes when
-// the share has grown past its number (endpoint_capacity.hpp).
+// the share has grown past its number (endpoint_capacity.hpp). Retries, the client's and the pooler's own,
+// have a smaller chance each, so that together they stay within the safety factor.
 //
 // Settings read: Settings::slow_start_share, slow_start_ramp, overload_multiple.
 #pragma once
--- a/tests/policy/fixtures.hpp
+++ b/tests/policy/fixtures.hpp
@@ -25,8 +25,10 @@
 }
 
 /// A request that arrives at kStart, with a client timeout of one second.
-inline Request make_request(const ClassSettings& settings, std::size_t attempt_limit = 4, double draw = 0.5) {
+inline Request make_request(const ClassSettings& settings, std::size_t attempt_limit = 4, double draw = 0.5,
+                            bool is_retry = false) {
     RequestArrival arrival;
+    arrival.is_retry = is_retry;
     arrival.id = RequestId{7};
     arrival.client_timeout = 1s;
     arrival.session = SessionKey{3};
