A retired session answers what had arrived by then, reads no more, and is handed over

In an upgrade the old process kept them until its own end. Cause: the next command was taken before the session looked whether it retires or is to be handed over; both waited for a moment with nothing unread, which never came. A shorter drain alone does not mend it: requests sent 0.1 s before the end were read. Change: Session::is_last_answer says when nothing more is owed: what had arrived at the retirement, and messages read completely since, are answered; the connection reads no further (Connection::limit_stream). A session that is handed over takes no next message. Requests are answered by the longest deadline, 3 s at most, and 0.6 s after SIGTERM.

--- a/src/adapters/client_listener.cpp
+++ b/src/adapters/client_listener.cpp
@@ -35,27 +35,36 @@
 
 void ClientListener::close_idle() {
     is_retiring_ = true;
+    bool was_handing_over = std::exchange(is_handing_over_, false);
+    if (was_handing_over)  // no session may wait for a successor that is lost
+        for (const auto& session : open_sessions()) session->resume_reading();
     close_retiring_sessions();
 }
 
+std::vector<std::shared_ptr<Session>> ClientListener::open_sessions() const {
+    std::vector<std::shared_ptr<Session>> sessions;
+    for (const auto& [sequence, session] : sessions_) sessions.push_back(session);
+    return sessions;
+}
+
 void ClientListener::resume_service() {
     is_retiring_ = is_failing_checks_ = false;
     retirement_timer_.cancel();
+    for (const auto& session : open_sessions()) session->resume_service();
 }
 
 // A new connection gets time for its first request, which may already be on its way when the listener
 // retires.
 bool ClientListener::is_retiring(const Session& session) const {
     constexpr auto kFirstRequestGrace = std::chrono::milliseconds(300);
-    auto now = std::chrono::steady_clock::now();
-    return is_retiring_ && (session.has_been_served || now >= session.accepted_at + kFirstRequestGrace);
+    if (!is_retiring_) return false;
+    return session.has_been_served ||
+           std::chrono::steady_clock::now() >= session.accepted_at + kFirstRequestGrace;
 }
 
 void ClientListener::close_retiring_sessions() {
     constexpr auto kSweepInterval = std::chrono::milliseconds(20);
-    std::vector<std::shared_ptr<Session>> sessions;
-    for (const auto& [sequence, session] : sessions_) sessions.push_back(session);
-    for (const auto& session : sessions) session->close_if_retiring();
+    for (const auto& session : open_sessions()) session->close_if_retiring();
     retirement_timer_.expires_after(kSweepInterval);
     retirement_timer_.async_wait([this](const transport::error_code& ec) {
         if (!ec && is_retiring_) close_retiring_sessions();
@@ -69,10 +78,9 @@
 // Moves connections to another process during an upgrade. They stay open, so that no request that is on its
 // way meets a closed connection.
 std::size_t ClientListener::hand_over(const std::function<void(routing::ClientHandover)>& to) {
-    std::vector<std::shared_ptr<Session>> sessions;
-    for (const auto& [sequence, session] : sessions_) sessions.push_back(session);
+    is_handing_over_ = true;
     std::size_t handed_over = 0;
-    for (const auto& session : sessions)
+    for (const auto& session : open_sessions())
         if (auto handover = session->release()) {
             remove_session(session);
             to(std::move(*handover));
@@ -82,6 +90,7 @@
 }
 
 void ClientListener::take_over(routing::ClientHandover handover) {
+    is_handing_over_ = false;  // until hand_over() is called again
     auto session = create_session();
     session->restore(handover.state, handover.note);
     transport::error_code ec;
--- a/src/adapters/client_listener.hpp
+++ b/src/adapters/client_listener.hpp
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <memory>
+#include <vector>
 
 #include "adapters/session.hpp"
 #include "transport/lingering.hpp"
@@ -48,8 +49,11 @@
     bool grant_capacity(Session& session, std::size_t bytes);
     /// Returns the bytes that were reserved for the session's long message.
     void release_capacity(Session& session);
-    /// Whether the session is to close when it is idle. A new one first has some time to send a request.
+    /// Whether the session is to close when no answer is owed to its client. A new one first has some time to
+    /// send a request.
     bool is_retiring(const Session& session) const;
+    /// Whether sessions are handed over to another process as soon as no request of theirs is served.
+    bool is_handing_over() const { return is_handing_over_; }
     /// Updates the sum of the sessions' bytes. Returns whether the sum is over its limit and this session has
     /// a large part in it.
     bool is_over_memory_limit(Session& session);
@@ -84,10 +88,11 @@
     // Not limited: a retiring listener needs no descriptors for new clients.
     transport::LingeringConnections lingering_after_drain_{std::size_t(-1)};
     void close_retiring_sessions();
+    std::vector<std::shared_ptr<Session>> open_sessions() const;
 
     std::size_t max_long_bytes_ = 32 << 20, granted_long_bytes_ = 0;
     std::map<Session*, std::weak_ptr<Session>> waiting_for_capacity_;  // each for a long message
-    bool is_retiring_ = false, is_failing_checks_ = false;
+    bool is_retiring_ = false, is_failing_checks_ = false, is_handing_over_ = false;
     boost::asio::steady_timer retirement_timer_;
 };
 
--- a/src/adapters/rest_front.cpp
+++ b/src/adapters/rest_front.cpp
@@ -241,7 +241,7 @@
 
     std::string format_response(int status, std::vector<http::Field> fields, const std::string& body) {
         log(status);
-        return http::write_response(status, fields, body, keeps_alive_ && !is_retiring(), is_head_request_);
+        return http::write_response(status, fields, body, keeps_alive_ && !is_last_answer(), is_head_request_);
     }
     std::string format_response(const Problem& problem, std::vector<http::Field> fields) {
         json body{{"type", "urn:indigovane:problem:" + problem.type},
@@ -254,11 +254,11 @@
     }
     void respond(int status, std::vector<http::Field> fields, const std::string& body) {
         write(format_response(status, std::move(fields), body));
-        if (!keeps_alive_ || is_retiring()) close_gracefully();
+        if (!keeps_alive_ || is_last_answer()) close_gracefully();
     }
     void respond(const Problem& problem, std::vector<http::Field> fields) {
         write(format_response(problem, std::move(fields)));
-        if (!keeps_alive_ || is_retiring()) close_gracefully();
+        if (!keeps_alive_ || is_last_answer()) close_gracefully();
     }
     void respond_to_submitted(int status, std::vector<http::Field> fields, const std::string& body) {
         send_last_bytes(format_response(status, std::move(fields), body));
@@ -267,7 +267,7 @@
         send_last_bytes(format_response(problem, std::move(fields)));
     }
     void send_last_bytes(std::string bytes) {
-        if (keeps_alive_ && !is_retiring()) return finish_response(std::move(bytes));
+        if (keeps_alive_ && !is_last_answer()) return finish_response(std::move(bytes));
         write(std::move(bytes));
         close_gracefully();
     }
--- a/src/adapters/session.cpp
+++ b/src/adapters/session.cpp
@@ -7,6 +7,8 @@
 namespace {
 // Unwritten bytes of a session beyond which it is held back while all sessions use too much memory.
 constexpr std::size_t kMaxUnwrittenWhenHeldBack = 16384;
+// Unread bytes with which a session is handed over to another process. What is more is served here first.
+constexpr std::size_t kMaxUnreadHandedOver = 16384;
 }  // namespace
 
 Session::Session(boost::asio::io_context& io, ClientListener& client_listener,
@@ -43,11 +45,42 @@
 }
 
 void Session::close_if_retiring() {
-    if (is_retiring() && state_ == State::idle && !connection_->readable()) close_gracefully();
+    // Asked first, also while a request is served: what arrives after that is not read.
+    bool is_last = is_last_answer();
+    if (is_last && state_ == State::idle) close_gracefully();
 }
 
-bool Session::is_retiring() const {
-    return client_listener_.is_retiring(*this);
+bool Session::is_last_answer() {
+    if (!client_listener_.is_retiring(*this)) return false;
+    std::uint64_t consumed = input_ ? input_->consumed() : 0;
+    if (!owed_until_) {
+        owed_until_ = consumed + connection_->arrived_bytes();
+        connection_->limit_stream(*owed_until_);
+    }
+    if (owed_input_ == OwedInput::last_message && consumed >= *owed_until_) {
+        owed_input_ = OwedInput::none;
+        owed_until_ = connection_->stream_position();
+        connection_->limit_stream(*owed_until_);
+    }
+    return consumed >= *owed_until_;
+}
+
+// The message in which the owed bytes of a retired session end is read on. One that began among the bytes
+// that were read together with its end is not: it could be followed by another one of that kind, without an
+// end, and a message that has not been read completely is owed no answer.
+void Session::on_incomplete_message() {
+    if (!owed_until_ || connection_->stream_position() < *owed_until_) return;
+    if (owed_input_ == OwedInput::none) owed_until_ = input_->consumed();
+    if (owed_input_ != OwedInput::arrived) return;
+    owed_input_ = OwedInput::last_message;
+    connection_->limit_stream(transport::Connection::kNoStreamLimit);
+}
+
+void Session::resume_service() {
+    owed_until_.reset();
+    owed_input_ = OwedInput::arrived;
+    connection_->limit_stream(transport::Connection::kNoStreamLimit);
+    resume_reading();
 }
 
 bool Session::is_failing_checks() const {
@@ -62,7 +95,6 @@
 }
 
 std::optional<routing::ClientHandover> Session::release() {
-    constexpr std::size_t kMaxUnreadHandedOver = 16384;  // bytes; a longer request is read and served here
     if (state_ != State::idle || connection_->unread().size() > kMaxUnreadHandedOver) return std::nullopt;
     routing::ClientHandover handover{-1, wire_state(), std::string(connection_->unread()), wire_note()};
     handover.socket = connection_->release();
@@ -95,9 +127,15 @@
     client_listener_.remove_session(self);
 }
 
-bool Session::may_process_message() const {
+bool Session::may_process_message() {
     return input_ && !input_->empty() && state_ == State::idle && !is_held_back() &&
-           connection_->unwritten() <= limits_.unwritten_bytes;
+           connection_->unwritten() <= limits_.unwritten_bytes && !awaits_handover() && !is_last_answer();
+}
+
+// Whether the next message is left to the process to which the listener hands its sessions over. A session
+// that took it would be busy again at each moment in which sessions are handed over.
+bool Session::awaits_handover() const {
+    return client_listener_.is_handing_over() && connection_->unread().size() <= kMaxUnreadHandedOver;
 }
 
 // Whether nothing more is read from this client and answered to it until it has read what it was sent.
@@ -109,12 +147,13 @@
 void Session::process_input() {
     if (is_processing_) return;
     is_processing_ = true;
-    bool has_yielded = false;
-    while (!has_yielded && may_process_message() && process_next_message(*input_)) {
+    bool has_yielded = false, is_complete = true;
+    while (!has_yielded && may_process_message() && (is_complete = process_next_message(*input_))) {
         has_progressed_ = has_received_message_ = true;
         has_yielded = !input_->empty() && connection_->must_yield();
     }
     is_processing_ = false;
+    if (!is_complete && state_ == State::idle) on_incomplete_message();
     // A session that serves a request, or has yet to look at what it has read, is not closed: that is
     // bounded, and it is checked again afterwards.
     bool is_over_limit = state_ != State::closed && client_listener_.is_over_memory_limit(*this);
--- a/src/adapters/session.hpp
+++ b/src/adapters/session.hpp
@@ -3,6 +3,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
+#include <optional>
 
 #include "routing/interfaces.hpp"
 #include "transport/arrivals.hpp"
@@ -45,8 +46,10 @@
     virtual void restore(char, std::string_view) { has_received_message_ = true; }
     /// Whether no request is served, nothing received is unread and the client has all answers.
     bool is_idle();
-    /// Closes the connection if the listener retires it and no request is served or unread.
+    /// Closes the connection if the listener retires this session and no answer is owed to its client.
     void close_if_retiring();
+    /// Called when the listener serves its clients again after it had retired them.
+    void resume_service();
     /// Closes an idle session to make room for another one.
     void evict() { close_gracefully(); }
     /// Closes at once and withdraws a request in flight.
@@ -61,7 +64,8 @@
     bool has_been_served = false;
     /// Bytes that the listener has granted for a long message, beyond `Limits::unread_bytes`.
     std::size_t granted_bytes = 0;
-    /// Continues to read when the listener may have capacity for a long message.
+    /// Continues to process what is unread: the listener may have capacity for a long message, or no longer
+    /// hands sessions over.
     void resume_reading();
     /// Bytes in memory, unread and unwritten.
     std::size_t memory_bytes() const;
@@ -109,20 +113,34 @@
     std::string peer_address() const;
     bool is_serving() const { return state_ == State::serving; }
     bool is_closed() const { return state_ == State::closed; }
-    /// Whether the connection is to be closed after this request.
-    bool is_retiring() const;
+    /// Whether the listener retires this session and no answer is owed beyond that to the message consumed
+    /// last: the connection is to be closed after it.
+    ///
+    /// Answers are owed to what had arrived, here or in the kernel, when the session was retired first, and to
+    /// each message that was read completely since. What arrives later stays in the kernel, unread, so that
+    /// its client can send it again elsewhere. Without that bound a client that always has a further request
+    /// in flight is served until the process is killed.
+    bool is_last_answer();
     /// Whether health checks are to fail, so that load balancers send clients elsewhere.
     bool is_failing_checks() const;
 
   private:
     enum class State { idle, serving, closed };
+    // What a retired session still reads.
+    enum class OwedInput {
+        arrived,       // the bytes that had arrived when it was retired
+        last_message,  // the rest of the message in which those bytes end
+        none,
+    };
 
     void on_data(transport::Buffer& in) override;
     void on_written() override;
     void on_closed(const transport::error_code& ec) override;
     bool is_client_present() override { return !connection_->hung_up(); }
     void end_with(routing::RequestAdmission::Departure departure);
-    bool may_process_message() const;
+    bool may_process_message();
+    bool awaits_handover() const;
+    void on_incomplete_message();
     bool is_held_back() const;
     void process_input();
     void update_timeout();
@@ -135,6 +153,9 @@
     transport::Buffer* input_ = nullptr;  // owned by the connection
     transport::Arrivals arrivals_;        // arrival times of the bytes in `input_`
     State state_ = State::idle;
+    // Position in the stream up to which answers are owed; nullopt: the listener has not retired this session.
+    std::optional<std::uint64_t> owed_until_;
+    OwedInput owed_input_ = OwedInput::arrived;
     routing::RequestId request_id_{};
     std::size_t unread_at_timer_start_ = 0;  // bytes in `input_` when the timer was started
     std::chrono::steady_clock::time_point long_message_since_;
--- a/src/program/graceful_shutdown.cpp
+++ b/src/program/graceful_shutdown.cpp
@@ -15,9 +15,10 @@
 
 // Clients may still connect for this long after the signal: load balancers notice the stop late.
 constexpr auto kLinger = milliseconds(500);
-// Requests in flight get the longest deadline of all classes, but at least kMinDrain, and kDrainSlack more.
-constexpr auto kMinDrain = std::chrono::seconds(3);
-// The process is killed 700 ms after the longest deadline at the earliest; kLinger takes 500 ms of that.
+// The process may be killed the longest deadline of all classes, kMaxDrain at most, and 700 ms after the
+// signal. kLinger takes 500 ms of that and kDrainSlack 100 ms: all requests are answered by then. For answers
+// that clients are still reading the process stays up to kMaxDrain and kDrainSlack.
+constexpr auto kMaxDrain = std::chrono::seconds(3);
 constexpr auto kDrainSlack = milliseconds(100);
 // Time to send the answers to requests that are ended at the deadline.
 constexpr auto kFinalAnswers = milliseconds(50);
@@ -59,9 +60,10 @@
 // A request that arrives late gets less time than its client timeout. Requests still in flight at the
 // deadline are answered as well.
 void GracefulShutdown::set_deadline() {
-    deadline_ = services_.clock.now() + std::max<Duration>(services_.config.longest_deadline, kMinDrain) +
-                kDrainSlack;
-    services_.core->finish_by(deadline_);
+    Time now = services_.clock.now();
+    answer_by_ = now + std::min<Duration>(services_.config.longest_deadline, kMaxDrain) + kDrainSlack;
+    deadline_ = now + kMaxDrain + kDrainSlack;
+    services_.core->finish_by(answer_by_);
 }
 
 void GracefulShutdown::begin_drain() {
@@ -95,7 +97,7 @@
 void GracefulShutdown::stop_if_drained() {
     bool drained = is_drained();
     Time now = services_.clock.now();
-    if (now >= deadline_ && !services_.core->idle()) services_.core->finish_all();
+    if (now >= answer_by_ && !services_.core->idle()) services_.core->finish_all();
     if (!drained && now < deadline_ + kFinalAnswers) return schedule_check();
     if (services_.persistent_state && services_.persistent_state->is_open())
         services_.persistent_state->close();
--- a/src/program/graceful_shutdown.hpp
+++ b/src/program/graceful_shutdown.hpp
@@ -33,7 +33,8 @@
     Services& services_;
     boost::asio::steady_timer timer_;
     // When requests in flight must end; set when the drain or the handover begins.
-    routing::Time deadline_{};
+    routing::Time answer_by_{};  // when the last final answer is given
+    routing::Time deadline_{};   // when the process ends, whatever its clients still read
     std::size_t clients_handed_over_ = 0;
     bool check_scheduled_ = false;
 };
--- a/src/transport/connection.cpp
+++ b/src/transport/connection.cpp
@@ -71,7 +71,7 @@
             while (connection.state_ == State::open && !connection.close_when_written_) {
                 if (connection.is_delivery_scheduled_) break;  // deliver_unread() starts another reader
                 // Backpressure: resume() starts another reader.
-                if (connection.in_.size() >= connection.unread_limit_) {
+                if (!connection.may_read()) {
                     connection.is_reading_ = false;
                     connection.schedule_hangup_check();
                     return;
@@ -82,9 +82,11 @@
                 yield connection.socket_.async_wait(asio::ip::tcp::socket::wait_read, Reader(*this));
                 if (connection.close_when_written_) return;
                 if (connection.is_delivery_scheduled_) break;
+                if (!ec && !connection.may_read()) continue;  // limited while the read was awaited
                 if (!ec) {
                     Buffer::Span free = connection.in_.prepare(connection.read_size_);
-                    count = connection.socket_.read_some(asio::buffer(free.data, free.size), ec);
+                    count = connection.socket_.read_some(
+                        asio::buffer(free.data, connection.readable_bytes(free.size)), ec);
                 }
                 if (is_transient(ec)) continue;
                 if (ec) {
@@ -225,8 +227,17 @@
 }
 
 bool Connection::readable() {
+    return arrived_bytes() > 0;
+}
+
+std::size_t Connection::arrived_bytes() {
     error_code ec;
-    return state_ == State::open && (!in_.empty() || socket_.available(ec) > 0);
+    return state_ == State::open ? in_.size() + socket_.available(ec) : 0;
+}
+
+std::size_t Connection::readable_bytes(std::size_t free_bytes) const {
+    std::uint64_t left = stream_limit_ - std::min(stream_limit_, stream_position());
+    return std::size_t(std::min<std::uint64_t>(free_bytes, left));
 }
 
 bool Connection::is_idle() {
@@ -273,7 +284,7 @@
 }
 
 void Connection::resume() {
-    if (state_ != State::open || is_reading_ || in_.size() >= unread_limit_) return;
+    if (state_ != State::open || is_reading_ || !may_read()) return;
     is_reading_ = true;
     asio::post(strand_, Reader(shared_from_this(), false));
 }
--- a/src/transport/connection.hpp
+++ b/src/transport/connection.hpp
@@ -57,6 +57,8 @@
     // Whether the connection is open and there are bytes that the handler has not consumed, here or in the
     // kernel.
     bool readable();
+    // Number of bytes that have arrived and that the handler has not consumed, here and in the kernel.
+    std::size_t arrived_bytes();
     // Whether the other side has closed the connection or shut down its sending direction. Bytes that are
     // still unread do not hide this.
     bool hung_up();
@@ -80,6 +82,12 @@
     void set_read_size(std::size_t bytes) { read_size_ = bytes; }
     // Stops reading while at least this many bytes are unread.
     void limit_unread(std::size_t bytes) { unread_limit_ = bytes; }
+    // Reads no byte of the stream behind this position, counted from 1 and including the bytes that adopt()
+    // was given. What has been read already stays. kNoStreamLimit: reads everything.
+    void limit_stream(std::uint64_t position) { stream_limit_ = position; }
+    static constexpr std::uint64_t kNoStreamLimit = std::uint64_t(-1);
+    // Position of the last byte of the stream that has been read.
+    std::uint64_t stream_position() const { return in_.consumed() + in_.size(); }
     // Continues reading after the handler consumed bytes.
     void resume();
     // Called by the handler between two units of work on the unread bytes. True: it has used its share of the
@@ -123,6 +131,8 @@
     bool write_some(error_code& ec);
     void half_close();
     void deliver_unread();
+    std::size_t readable_bytes(std::size_t free_bytes) const;
+    bool may_read() const { return in_.size() < unread_limit_ && stream_position() < stream_limit_; }
     void schedule_hangup_check();
     void fail(const error_code& ec);
 
@@ -139,6 +149,7 @@
     // Number of bytes of `writing_` that the kernel has accepted.
     std::size_t written_ = 0;
     std::size_t unread_limit_ = 1 << 20, read_size_ = 2048;
+    std::uint64_t stream_limit_ = kNoStreamLimit;
     std::uint64_t sent_ = 0;
     LateInput late_input_ = LateInput::unread;
     bool is_reading_ = false, has_active_writer_ = false, close_when_written_ = false,
--- a/tests/adapters/connection_close_test.cpp
+++ b/tests/adapters/connection_close_test.cpp
@@ -90,6 +90,89 @@
     }
 }
 
+// Guards against a client that always has a further request in flight: it was served on after SIGTERM, and
+// the end of the process found its requests unanswered.
+TEST_CASE(
+    "a client that sends on during a shutdown gets the answers to what had arrived by then, and no more is "
+    "read from it") {
+    for (bool rest : {false, true}) {
+        PendingFronts fixture;
+        auto request = [&](int id) {
+            return rest ? http::write_request("GET", "/v1/clusters/1/kv/a?class=stock-view", "h", {})
+                        : query(std::to_string(id));
+        };
+        RawClient client(fixture.loop, rest ? fixture.rest.local() : fixture.pg.local());
+        client.send((rest ? "" : startup()) + request(1) + request(2) + request(3));
+        REQUIRE(fixture.wait_for_requests(1));
+        (rest ? static_cast<routing::Front&>(fixture.rest) : fixture.pg).close_idle();
+        std::string received;
+        boost::system::error_code ec;
+        for (std::size_t served = 0; served < 3; ++served) {
+            client.send(request(int(served) + 4));
+            REQUIRE(fixture.wait_for_requests(served + 1));
+            fixture.serve(served);
+            fixture.loop.settle();
+            received += client.read(ec);
+        }
+        CAPTURE(rest);
+        CHECK(fixture.admission.requests.size() == 3);
+        CHECK(ec == boost::asio::error::eof);
+        std::size_t answers = 0;
+        const std::string end_of_answer = rest ? "HTTP/1.1 200" : "SELECT 1";
+        for (std::size_t at = 0; (at = received.find(end_of_answer, at)) != std::string::npos; ++at)
+            ++answers;
+        CHECK(answers == 3);
+    }
+}
+
+// Guards against the same client at an upgrade: it was never between two requests, so that the old process
+// kept it until its end.
+TEST_CASE("a client that sends on during an upgrade is handed over after the request in flight") {
+    PendingFronts fixture;
+    RawClient client(fixture.loop, fixture.pg.local());
+    client.send(startup() + query("1") + query("2") + query("3"));
+    REQUIRE(fixture.wait_for_requests(1));
+    std::vector<routing::ClientHandover> handed_over;
+    auto hand_over = [&] {
+        return fixture.pg.hand_over([&](routing::ClientHandover h) { handed_over.push_back(std::move(h)); });
+    };
+    CHECK(hand_over() == 0);
+    fixture.serve(0);
+    fixture.loop.settle();
+    CHECK(fixture.admission.requests.size() == 1);
+    REQUIRE(hand_over() == 1);
+    CHECK(handed_over[0].read == query("2") + query("3"));
+    fixture.pg.take_over(std::move(handed_over[0]));
+    REQUIRE(fixture.wait_for_requests(2));
+    fixture.serve(1);
+    REQUIRE(fixture.wait_for_requests(3));
+}
+
+// A request of which the last byte arrives after its listener has retired: it is read to its end, and what is
+// read together with its end is answered as well.
+TEST_CASE("a request that has arrived in part when a shutdown begins is answered") {
+    PendingFronts fixture;
+    RawClient client(fixture.loop, fixture.pg.local());
+    const std::string second = query("2");
+    client.send(startup() + query("1") + second.substr(0, 20));
+    REQUIRE(fixture.wait_for_requests(1));
+    fixture.pg.close_idle();
+    fixture.serve(0);
+    fixture.loop.settle();
+    client.send(second.substr(20) + query("3") + query("4").substr(0, 30));
+    REQUIRE(fixture.wait_for_requests(2));
+    fixture.loop.settle();
+    client.send(query("4").substr(30) + query("5"));
+    fixture.serve(1);
+    REQUIRE(fixture.wait_for_requests(3));
+    fixture.serve(2);
+    fixture.loop.settle();
+    boost::system::error_code ec;
+    client.read(ec);
+    CHECK(ec == boost::asio::error::eof);
+    CHECK(fixture.admission.requests.size() == 3);
+}
+
 TEST_CASE("lingering connections are limited: the oldest is closed first, and each one after a time limit") {
     PendingFronts fixture(400);
     std::vector<std::unique_ptr<RawClient>> clients;
