The id of a request that may have run stays taken after its client has left, in both processes

Cause: an id was taken only while its request was pending; a cancel closes the connection and takes nothing back. Told apart: without cancel it runs twice only once the attempt has ended. Two processes tell each other (message I).

--- a/src/adapters/pg_front.cpp
+++ b/src/adapters/pg_front.cpp
@@ -179,7 +179,7 @@
             return reject(*rejection);
         if (is_open(request.id))
             return reject(
-                {pg::sqlstate::kInvalidParameter, "a request with this id is in flight"});
+                {pg::sqlstate::kInvalidParameter, "a request with this id is in flight, or may have run"});
         // The request keeps the statement and the values that were read from it.
         if (!has_capacity(sql.size() + std::min(sql.size(), kUsualMessageBytes)))
             return reject_over_capacity();
@@ -221,7 +221,7 @@
         if (auto rejection = read_open(sql, statement, profile, request)) return reject(*rejection);
         if (is_open(request.id))
             return reject(
-                {pg::sqlstate::kInvalidParameter, "a request with this id is in flight"});
+                {pg::sqlstate::kInvalidParameter, "a request with this id is in flight, or may have run"});
         if (!has_capacity(2 * sql.size())) return reject_over_capacity();
         submit(std::move(request), query_message_bytes_);
     }
--- a/src/adapters/rest_front.cpp
+++ b/src/adapters/rest_front.cpp
@@ -68,7 +68,7 @@
         } else if (is_health_check_) {
             respond(200, {{"Content-Type", "application/json"}}, json{{"status", "serving"}}.dump());
         } else if (is_open(client_request.id)) {
-            respond({409, "id", "A request with this id is in flight", ""}, {});
+            respond({409, "id", "A request with this id is in flight, or may have run", ""}, {});
         } else if (!has_capacity(client_request.name.size())) {
             respond({503, "refused", "The pooler has no memory for another request",
                      "the request can safely be retried"},
--- a/src/program/handover_messages.cpp
+++ b/src/program/handover_messages.cpp
@@ -14,6 +14,7 @@
     hello = 'H',
     listening_socket = 'A',
     commits = 'T',
+    started_requests = 'I',
     commit_floor = 'F',
     readmission = 'P',
     state_complete = 'E',
@@ -81,6 +82,11 @@
         for (const auto& [session, at] : commits.commits) encoder.integer(std::uint64_t(session)).time(at);
         return encoder.release_bytes();
     }
+    std::string operator()(const StartedRequests& started) const {
+        Encoder encoder(Type::started_requests);
+        for (const auto& [hash, at] : started.requests) encoder.integer(hash).time(at);
+        return encoder.release_bytes();
+    }
     std::string operator()(const CommitFloor& floor) const {
         return Encoder(Type::commit_floor).time(floor.at).release_bytes();
     }
@@ -119,6 +125,15 @@
     return commits;
 }
 
+// Reads the complete entries; a truncated last one is dropped.
+Message decode_started(Decoder body) {
+    StartedRequests started;
+    std::uint64_t hash = 0;
+    Time at;
+    while (body.integer(hash) && body.time(at)) started.requests.emplace_back(hash, at);
+    return started;
+}
+
 std::optional<Message> decode_floor(Decoder body) {
     CommitFloor floor;
     if (!body.time(floor.at)) return std::nullopt;
@@ -160,6 +175,8 @@
             return ListeningSocket{std::string(body.remaining())};
         case Type::commits:
             return decode_commits(body);
+        case Type::started_requests:
+            return decode_started(body);
         case Type::commit_floor:
             return decode_floor(body);
         case Type::readmission:
--- a/src/program/handover_messages.hpp
+++ b/src/program/handover_messages.hpp
@@ -12,6 +12,7 @@
 
 #include "policy/routing_policy.hpp"
 #include "routing/interfaces.hpp"
+#include "routing/started_requests.hpp"
 
 namespace indigovane::program::handover {
 
@@ -27,6 +28,10 @@
 struct Commits {
     std::vector<std::pair<policy::SessionKey, routing::Time>> commits;
 };
+// From either process: requests that were sent to a host and must not run again.
+struct StartedRequests {
+    std::vector<routing::StartedRequests::Entry> requests;
+};
 // From the predecessor: the commit that reads of sessions without a commit of their own must see.
 struct CommitFloor {
     routing::Time at{};
@@ -52,8 +57,8 @@
     std::string unhandled_bytes;  // received from the client
 };
 
-using Message = std::variant<Hello, ListeningSocket, Commits, CommitFloor, Readmission, StateComplete,
-                             Serving, ClientNote, Client>;
+using Message = std::variant<Hello, ListeningSocket, Commits, StartedRequests, CommitFloor, Readmission,
+                             StateComplete, Serving, ClientNote, Client>;
 
 // The version of these messages, sent in Hello.
 constexpr std::uint32_t kVersion = 1;
@@ -61,7 +66,7 @@
 // Returns the bytes of a message. A front's name has at most 255 bytes.
 std::string encode(const Message& message);
 // Returns nothing if the type is unknown, or if the body of a CommitFloor or Readmission is truncated. Of
-// truncated Commits, only the complete entries are returned.
+// truncated Commits or StartedRequests, only the complete entries are returned.
 std::optional<Message> decode(std::string_view bytes);
 
 }  // namespace indigovane::program::handover
--- a/src/program/process_handover.cpp
+++ b/src/program/process_handover.cpp
@@ -15,7 +15,7 @@
 
 namespace {
 // Keeps a message well below Channel::kMaxMessageBytes.
-constexpr std::size_t kCommitsPerMessage = 1000;
+constexpr std::size_t kCommitsPerMessage = 1000, kRequestsPerMessage = 1000;
 }  // namespace
 
 // Handles the messages that a predecessor may send. Other types are ignored.
@@ -107,6 +107,7 @@
     send_tokens(handover_owner_.tokens());
     for (auto& [uid, at] : handover_owner_.readmissions())
         successor_->send(encode(handover::Readmission{uid, at}));
+    send_started_requests(handover_owner_.started_requests());
     successor_->send(encode(handover::StateComplete{}));
     successor_state_ = State::sharing;
     handover_owner_.on_process_change();
@@ -123,12 +124,26 @@
 }
 
 void ProcessHandover::send_commit(std::uint64_t session, Time at) {
-    if (!predecessor_ && successor_state_ != State::sharing && successor_state_ != State::ready) return;
-    std::string message = encode(handover::Commits{{{SessionKey{session}, at}}});
+    if (has_other_process()) send_to_others(encode(handover::Commits{{{SessionKey{session}, at}}}));
+}
+
+void ProcessHandover::send_started_request(const routing::StartedRequests::Entry& request) {
+    if (has_other_process()) send_to_others(encode(handover::StartedRequests{{request}}));
+}
+
+void ProcessHandover::send_to_others(const std::string& message) {
     if (predecessor_) predecessor_->send(message);
     if (successor_state_ != State::waiting && successor_) successor_->send(message);
 }
 
+void ProcessHandover::send_started_requests(const std::vector<routing::StartedRequests::Entry>& requests) {
+    for (std::size_t first = 0; first < requests.size(); first += kRequestsPerMessage) {
+        auto begin = requests.begin() + std::ptrdiff_t(first);
+        auto end = requests.begin() + std::ptrdiff_t(std::min(requests.size(), first + kRequestsPerMessage));
+        successor_->send(encode(handover::StartedRequests{{begin, end}}));
+    }
+}
+
 void ProcessHandover::send_client(const std::string& front, ClientHandover client) {
     Descriptor socket(client.socket);
     if (!is_successor_ready()) return;
@@ -141,6 +156,8 @@
     if (!message) return;
     if (auto* commits = std::get_if<handover::Commits>(&*message))
         receive_commits(channel, bytes, *commits);
+    else if (auto* started = std::get_if<handover::StartedRequests>(&*message))
+        receive_started_requests(channel, bytes, *started);
     else if (&channel == predecessor_.get())
         std::visit(PredecessorMessageHandler{*this, std::move(descriptor)}, *message);
     else
@@ -153,7 +170,17 @@
     SessionTokens tokens;
     for (const auto& commit : commits.commits) tokens.commits.push_back(commit);
     handover_owner_.inherit_tokens(std::move(tokens));
-    Channel* other = &channel == predecessor_.get() ? successor_.get() : predecessor_.get();
+    relay(channel, bytes);
+}
+
+void ProcessHandover::receive_started_requests(Channel& channel, std::string_view bytes,
+                                               const handover::StartedRequests& started) {
+    for (const auto& request : started.requests) handover_owner_.inherit_started_request(request);
+    relay(channel, bytes);
+}
+
+void ProcessHandover::relay(Channel& from, std::string_view bytes) {
+    Channel* other = &from == predecessor_.get() ? successor_.get() : predecessor_.get();
     if (other && successor_state_ != State::waiting) other->send(std::string(bytes));
 }
 
--- a/src/program/process_handover.hpp
+++ b/src/program/process_handover.hpp
@@ -35,10 +35,13 @@
         virtual policy::SessionTokens tokens() = 0;
         // When endpoints were last readmitted, by uid.
         virtual std::map<std::string, routing::Time> readmissions() = 0;
+        // Requests that were sent to a host and must not run again.
+        virtual std::vector<routing::StartedRequests::Entry> started_requests() = 0;
 
         virtual void inherit_socket(const std::string& front, transport::Descriptor socket) = 0;
         virtual void inherit_tokens(policy::SessionTokens tokens) = 0;
         virtual void inherit_readmission(const std::string& uid, routing::Time at) = 0;
+        virtual void inherit_started_request(const routing::StartedRequests::Entry& request) = 0;
         virtual void inherit_client(const std::string& front, routing::ClientHandover client) = 0;
         // The result of has_other_process() may have changed.
         virtual void on_process_change() = 0;
@@ -67,6 +70,8 @@
     bool all_sent() const { return !successor_ || successor_->all_sent(); }
     // Sends a session's commit to the predecessor and the successor.
     void send_commit(std::uint64_t session, routing::Time at);
+    // Tells the predecessor and the successor of a request that must not run again.
+    void send_started_request(const routing::StartedRequests::Entry& request);
     // Sends a client to the successor. If no successor is ready, the client's connection is closed.
     void send_client(const std::string& front, routing::ClientHandover client);
 
@@ -81,6 +86,13 @@
     void accept_successor(transport::Descriptor socket);
     void receive_commits(transport::Channel& channel, std::string_view bytes,
                          const handover::Commits& commits);
+    void receive_started_requests(transport::Channel& channel, std::string_view bytes,
+                                  const handover::StartedRequests& started);
+    // Sends a message to both other processes that have this one's state, or give theirs to it.
+    void send_to_others(const std::string& message);
+    // Passes on to the other side what was received from one side.
+    void relay(transport::Channel& from, std::string_view bytes);
+    void send_started_requests(const std::vector<routing::StartedRequests::Entry>& requests);
     void receive_hello(const handover::Hello& hello);
     void receive_client(handover::Client client, transport::Descriptor socket);
     void send_state();
--- a/src/program/startup.cpp
+++ b/src/program/startup.cpp
@@ -224,6 +224,9 @@
         if (services.persistent_state) services.persistent_state->commit(session, commit);
         services.process_handover->send_commit(session, commit);
     });
+    services.core->on_start([&services](const routing::StartedRequests::Entry& request) {
+        services.process_handover->send_started_request(request);
+    });
 }
 
 void open_fronts(Services& services) {
--- a/src/routing/attempt_dispatcher.cpp
+++ b/src/routing/attempt_dispatcher.cpp
@@ -227,6 +227,8 @@
         core_.log.disqualified(*pending, task, id, now);
         return {nullptr, AttemptStatus::disqualified};
     }
+    if (core_.requests.record_start(*pending, now) && start_observer_)
+        start_observer_({StartedRequests::hash(pending->request.id), now});
     return {&pending->request};
 }
 
--- a/src/routing/attempt_dispatcher.hpp
+++ b/src/routing/attempt_dispatcher.hpp
@@ -3,6 +3,7 @@
 // to AttemptOutcomes.
 #pragma once
 
+#include <functional>
 #include <set>
 
 #include "routing/attempt_outcomes.hpp"
@@ -34,6 +35,10 @@
     // nullptr: sites are not watched.
     void set_sites(SiteController* sites) { sites_ = sites; }
 
+    // Called before the first byte of a request that must not run again.
+    using StartObserver = std::function<void(const StartedRequests::Entry&)>;
+    void set_start_observer(StartObserver observer) { start_observer_ = std::move(observer); }
+
     // Sends an attempt. One that may not be sent ends at once, so that the policy is told.
     void send(const policy::SendAttempt& send);
     // Cancels an attempt. Does nothing once the client has received part of the response.
@@ -72,6 +77,7 @@
 
     Dependencies core_;
     SiteController* sites_ = nullptr;
+    StartObserver start_observer_;
 };
 
 }  // namespace indigovane::routing
--- a/src/routing/core.hpp
+++ b/src/routing/core.hpp
@@ -34,7 +34,7 @@
     bool has_capacity(std::size_t bytes) const override {
         return requests_.bytes() + bytes <= limits_.max_request_bytes;
     }
-    bool is_open(const std::string& id) const override { return requests_.is_open(id); }
+    bool is_open(const std::string& id) const override { return requests_.is_open(id, clock_.now()); }
     void resume(RequestId id) override { dispatcher_.resume(id); }
     void withdraw(RequestId id, Departure departure) override { completion_.withdraw(id, departure); }
 
@@ -50,6 +50,15 @@
     // The last commit of each session.
     policy::SessionTokens tokens() const { return policy_.tokens(); }
     void take_over(policy::SessionTokens tokens);
+    // Requests that were sent to a host and must not run again, here or in the other process.
+    std::vector<StartedRequests::Entry> started_requests() { return requests_.started().entries(); }
+    void merge_started_request(const StartedRequests::Entry& entry) {
+        requests_.started().add(entry, clock_.now());
+    }
+    // Called before the first byte of such a request.
+    void on_start(AttemptDispatcher::StartObserver observer) {
+        dispatcher_.set_start_observer(std::move(observer));
+    }
     // When operators last readmitted an endpoint, by uid.
     const std::map<std::string, Time>& readmissions() const {
         return endpoints_.overlays().operator_readmissions();
--- a/src/routing/interfaces.hpp
+++ b/src/routing/interfaces.hpp
@@ -105,7 +105,8 @@
     virtual RequestId accept(ClientRequest request, Responder& responder) = 0;
     // Whether a request of that many bytes fits into the memory budget. If not, the front rejects it.
     virtual bool has_capacity(std::size_t bytes) const = 0;
-    // Whether a request with that client-chosen id is pending. A host could not tell two of them apart.
+    // Whether a request with that client-chosen id is pending, or may have run and must not run again. A host
+    // could not tell two of them apart.
     virtual bool is_open(const std::string& id) const = 0;
     // The request's responder has room for pieces of a long value again.
     virtual void resume(RequestId id) = 0;
--- a/src/routing/request_table.hpp
+++ b/src/routing/request_table.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "routing/pending_request.hpp"
+#include "routing/started_requests.hpp"
 
 namespace indigovane::routing {
 
@@ -30,16 +31,24 @@
         return pending && pending->responder ? pending : nullptr;
     }
 
-    // Marks a request as finished if no answer is owed and no attempt is in flight. The client may then use
-    // the request's id again. False: the request isn't finished yet, or was marked before.
+    // Marks a request as finished if no answer is owed and no attempt is in flight. False: the request isn't
+    // finished yet, or was marked before.
     bool finish_if_done(RequestId id);
     // The requests finished since the last call. The policy may not know yet that they are finished.
     std::vector<RequestId> take_finished() { return std::exchange(finished_, {}); }
     bool has_finished() const { return !finished_.empty(); }
     void forget(RequestId id);
 
-    // Whether a request with this client-chosen id is pending.
-    bool is_open(const std::string& client_id) const { return open_client_ids_.count(client_id) > 0; }
+    // Records that the request is about to be sent to a host. True: it is one that must not run again, and it
+    // was not recorded before.
+    bool record_start(const PendingRequest& pending, Time now);
+    // Requests that were sent to a host, here or by another process, and must not run again.
+    StartedRequests& started() { return started_; }
+
+    // Whether a request with this client-chosen id is pending, or must not run again.
+    bool is_open(const std::string& client_id, Time now) const {
+        return open_client_ids_.count(client_id) > 0 || started_.contains(client_id, now);
+    }
     // The memory that all requests use, in bytes.
     std::size_t bytes() const { return bytes_; }
     std::size_t size() const { return requests_.size(); }
@@ -49,6 +58,7 @@
   private:
     Requests requests_;
     std::unordered_set<std::string> open_client_ids_;
+    StartedRequests started_;
     std::vector<RequestId> finished_;
     std::uint64_t next_id_ = 1;
     std::size_t bytes_ = 0;
--- a/tests/program/handover_messages_test.cpp
+++ b/tests/program/handover_messages_test.cpp
@@ -57,6 +57,13 @@
     void inherit_readmission(const std::string& uid, Time at) override {
         events.push_back("readmitted " + uid + " " + std::to_string(at.time_since_epoch().count()));
     }
+    std::vector<routing::StartedRequests::Entry> started_requests() override {
+        return {{0x4142434445464748u, Time(Duration(0x51))}};
+    }
+    void inherit_started_request(const routing::StartedRequests::Entry& request) override {
+        events.push_back("started " + std::to_string(request.first) + " " +
+                         std::to_string(request.second.time_since_epoch().count()));
+    }
     void inherit_client(const std::string& front, routing::ClientHandover handover) override {
         Descriptor socket(handover.socket);
         events.push_back("client " + front + " " + handover.state + " " + handover.read + " " +
@@ -80,7 +87,7 @@
     REQUIRE(successor);
     successor->start();
     successor->send("H\1\0\0\0"s);
-    REQUIRE(loop.until([&] { return peer.messages.size() == 6; }));
+    REQUIRE(loop.until([&] { return peer.messages.size() == 7; }));
     CHECK(peer.messages[0] == "Apg");
     CHECK(peer.messages[1] == "Arest");
     CHECK(
@@ -88,10 +95,12 @@
         "T\x08\x07\x06\x05\x04\x03\x02\x01\x18\x17\x16\x15\x14\x13\x12\x11\2\0\0\0\0\0\0\0\3\0\0\0\0\0\0\0"s);
     CHECK(peer.messages[3] == "F\x21\0\0\0\0\0\0\0"s);
     CHECK(peer.messages[4] == "P\x31\0\0\0\0\0\0\0m1"s);
-    CHECK(peer.messages[5] == "E");
-    CHECK(peer.had_descriptor == std::vector<bool>{true, true, false, false, false, false});
+    CHECK(peer.messages[5] == "IHGFEDCBA\x51\0\0\0\0\0\0\0"s);
+    CHECK(peer.messages[6] == "E");
+    CHECK(peer.had_descriptor == std::vector<bool>{true, true, false, false, false, false, false});
 
     predecessor.send_commit(5, Time(Duration(6)));
+    predecessor.send_started_request({7, Time(Duration(8))});
     successor->send("R");
     REQUIRE(loop.until([&] { return predecessor.is_successor_ready(); }));
     CHECK(owner.events == std::vector<std::string>{"ready"});
@@ -105,14 +114,15 @@
     without_note.state = 'i';
     without_note.socket = any_descriptor().release();
     predecessor.send_client("rest", std::move(without_note));
-    REQUIRE(loop.until([&] { return peer.messages.size() == 10; }));
-    CHECK(peer.messages[6] == "T\5\0\0\0\0\0\0\0\6\0\0\0\0\0\0\0"s);
-    CHECK(peer.messages[7] == "Nn\0te"s);
-    CHECK(peer.messages[8] == "C\2pgshalf");
-    CHECK(peer.messages[9] == "C\4resti");
-    CHECK(peer.had_descriptor[7] == false);
-    CHECK(peer.had_descriptor[8] == true);
-    CHECK(peer.had_descriptor[9] == true);
+    REQUIRE(loop.until([&] { return peer.messages.size() == 12; }));
+    CHECK(peer.messages[7] == "T\5\0\0\0\0\0\0\0\6\0\0\0\0\0\0\0"s);
+    CHECK(peer.messages[8] == "I\7\0\0\0\0\0\0\0\x08\0\0\0\0\0\0\0"s);
+    CHECK(peer.messages[9] == "Nn\0te"s);
+    CHECK(peer.messages[10] == "C\2pgshalf");
+    CHECK(peer.messages[11] == "C\4resti");
+    CHECK(peer.had_descriptor[9] == false);
+    CHECK(peer.had_descriptor[10] == true);
+    CHECK(peer.had_descriptor[11] == true);
 }
 
 TEST_CASE("handover: a successor's messages have fixed bytes, and it reads a predecessor's fixed bytes") {
@@ -133,6 +143,7 @@
     predecessor->send("T\7\0\0\0\0\0\0\0\3\0\0\0\0\0\0\0"s);
     predecessor->send("F\x21\0\0\0\0\0\0\0"s);
     predecessor->send("P\x31\0\0\0\0\0\0\0m1"s);
+    predecessor->send("I\x0b\0\0\0\0\0\0\0\x0c\0\0\0\0\0\0\0truncated"s);
     predecessor->send("?a type of a later version");
     predecessor->send("F\1"s);  // truncated
     CHECK(successor.is_inheriting());
@@ -147,8 +158,8 @@
     predecessor->send("F\x22\0\0\0\0\0\0\0"s);
     REQUIRE(loop.until([&] { return !owner.events.empty() && owner.events.back() == "floor 34"; }));
     CHECK(owner.events == std::vector<std::string>{"socket pg", "commit 7 3", "floor 33", "readmitted m1 49",
-                                                   "client pg s half note open", "client rest i   open",
-                                                   "floor 34"});
+                                                   "started 11 12", "client pg s half note open",
+                                                   "client rest i   open", "floor 34"});
     successor.send_commit(5, Time(Duration(6)));
     successor.announce();
     REQUIRE(loop.until([&] { return peer.messages.size() == 3; }));
@@ -175,7 +186,7 @@
     REQUIRE(successor);
     successor->start();
     successor->send("H\1\0\0\0"s);
-    REQUIRE(loop.until([&] { return peer.messages.size() == 7; }));
+    REQUIRE(loop.until([&] { return peer.messages.size() == 8; }));
     CHECK(peer.messages[2].size() == 1 + 1000 * 16);
     CHECK(peer.messages[3] == "T\xe9\3\0\0\0\0\0\0\1\0\0\0\0\0\0\0"s);
     // The predecessor inherits a commit of the successor.
--- a/tests/program/upgrade_test.cpp
+++ b/tests/program/upgrade_test.cpp
@@ -94,6 +94,9 @@
                                                           deployment.endpoint(2, EndpointState::ready)});
         core.on_commit(
             [this](std::uint64_t session, routing::Time at) { handover.send_commit(session, at); });
+        core.on_start([this](const routing::StartedRequests::Entry& request) {
+            handover.send_started_request(request);
+        });
     }
     // Readmissions are kept as long as endpoints that left the list. With the deployment's usual 0 s they are
     // forgotten at the next sweep, 10 ms later: whether both processes still knew them depended on the
@@ -123,6 +126,12 @@
     void inherit_readmission(const std::string& uid, routing::Time at) override {
         core.merge_readmission(uid, at);
     }
+    std::vector<routing::StartedRequests::Entry> started_requests() override {
+        return core.started_requests();
+    }
+    void inherit_started_request(const routing::StartedRequests::Entry& request) override {
+        core.merge_started_request(request);
+    }
     void inherit_client(const std::string&, routing::ClientHandover handed_over) override {
         front->take_over(std::move(handed_over));
     }
