A long request that waits for memory is rejected after 300 ms instead of answered late

Cause: a statement over 160 KiB stays unread until its listener has memory for it, its time counts from the last byte that is read, and the wait had no limit of its own. The attempt's deadline holds: one such write is answered after 990 ms. A long answer that its host goes on with is delivered whole (4 of 4, up to 13 s): cut off was not shown. Change: such a message waits 300 ms at most; then it is rejected (53300, never sent), and what comes of it is dropped.

--- a/src/adapters/client_listener.cpp
+++ b/src/adapters/client_listener.cpp
@@ -15,6 +15,7 @@
       listener_(io, at, [this](auto socket) { accept_socket(std::move(socket)); }),
       max_connections_(max_connections),
       memory_(max_connections),
+      capacity_timer_(io),
       retirement_timer_(io) {}
 
 ClientListener::~ClientListener() {
@@ -154,7 +155,9 @@
 
 bool ClientListener::grant_capacity(Session& session, std::size_t bytes) {
     if (granted_long_bytes_ + bytes > max_long_bytes_) {
-        waiting_for_capacity_[&session] = session.weak_from_this();
+        waiting_for_capacity_.try_emplace(
+            &session, CapacityWait{session.weak_from_this(), std::chrono::steady_clock::now()});
+        schedule_capacity_timeout();
         return false;
     }
     waiting_for_capacity_.erase(&session);
@@ -167,11 +170,36 @@
     if (session.granted_bytes == 0) return;
     granted_long_bytes_ -= std::exchange(session.granted_bytes, 0);
     boost::asio::post(io_, [this, waiting = waiting_for_capacity_] {
-        for (auto& [key, weak] : waiting)
-            if (auto other = weak.lock(); other && waiting_for_capacity_.count(key)) other->resume_reading();
+        for (auto& [key, wait] : waiting)
+            if (auto other = wait.session.lock(); other && waiting_for_capacity_.count(key))
+                other->resume_reading();
     });
 }
 
+// One timer serves all waits; it looks at them more often than each needs.
+void ClientListener::schedule_capacity_timeout() {
+    if (std::exchange(is_capacity_timer_set_, true)) return;
+    capacity_timer_.expires_after(kMaxCapacityWait / 6);
+    capacity_timer_.async_wait([this](const transport::error_code& ec) {
+        is_capacity_timer_set_ = false;
+        if (ec) return;
+        end_capacity_waits();
+        if (!waiting_for_capacity_.empty()) schedule_capacity_timeout();
+    });
+}
+
+void ClientListener::end_capacity_waits() {
+    auto begun_before = std::chrono::steady_clock::now() - kMaxCapacityWait;
+    std::vector<std::shared_ptr<Session>> expired;
+    for (const auto& [key, wait] : waiting_for_capacity_)
+        if (auto session = wait.session.lock(); session && wait.begin <= begun_before)
+            expired.push_back(std::move(session));
+    for (const auto& session : expired) {
+        waiting_for_capacity_.erase(session.get());
+        session->on_capacity_timeout();
+    }
+}
+
 void ClientListener::remove_session(const std::shared_ptr<Session>& session) {
     release_capacity(*session);
     if (sessions_.erase(session->last_use_sequence) > 0) {
--- a/src/adapters/client_listener.hpp
+++ b/src/adapters/client_listener.hpp
@@ -41,12 +41,16 @@
     void remove_session(const std::shared_ptr<Session>& session);
     /// Whether health checks are to fail, so that load balancers send clients elsewhere.
     bool is_failing_checks() const { return is_failing_checks_; }
-    /// Limits the sum of bytes reserved for long messages. A message beyond it waits unread; its request's
-    /// time counts from its last byte.
+    /// A long message waits this long for capacity, then its request is rejected. The client may have sent it
+    /// completely, so that its time has begun, and a final answer may be 500 ms late.
+    static constexpr auto kMaxCapacityWait = std::chrono::milliseconds(300);
+    /// Limits the sum of bytes reserved for long messages. A message beyond it waits unread, for
+    /// kMaxCapacityWait at most; its request's time counts from its last byte.
     void limit_long_message_bytes(std::size_t bytes) { max_long_bytes_ = bytes; }
     std::size_t max_long_bytes() const { return max_long_bytes_; }
     /// Reserves bytes for a long message. Returns false if they exceed the limit; the session's
-    /// resume_reading() is called when there may be capacity.
+    /// resume_reading() is called when there may be capacity, or on_capacity_timeout() after
+    /// kMaxCapacityWait.
     bool grant_capacity(Session& session, std::size_t bytes);
     /// Returns the bytes that were reserved for the session's long message.
     void release_capacity(Session& session);
@@ -89,7 +93,16 @@
     std::vector<std::shared_ptr<Session>> open_sessions() const;
 
     std::size_t max_long_bytes_ = 32 << 20, granted_long_bytes_ = 0;
-    std::map<Session*, std::weak_ptr<Session>> waiting_for_capacity_;  // each for a long message
+    struct CapacityWait {
+        std::weak_ptr<Session> session;
+        std::chrono::steady_clock::time_point begin;
+    };
+    void end_capacity_waits();
+    void schedule_capacity_timeout();
+
+    std::map<Session*, CapacityWait> waiting_for_capacity_;  // each for a long message
+    boost::asio::steady_timer capacity_timer_;
+    bool is_capacity_timer_set_ = false;
     bool is_retiring_ = false, is_failing_checks_ = false, is_handing_over_ = false;
     boost::asio::steady_timer retirement_timer_;
 };
--- a/src/adapters/pg_front.cpp
+++ b/src/adapters/pg_front.cpp
@@ -101,11 +101,31 @@
         return true;
     }
 
+    // The message is read and dropped. Its client gets the answer at once: it may have sent the whole
+    // message.
+    void on_capacity_timeout() override {
+        if (is_closed()) return;
+        skipped_bytes_left_ = long_message_bytes_;
+        reject_over_capacity();
+        resume_reading();
+    }
+    bool is_skipping_message() const override { return skipped_bytes_left_ > 0; }
+    void skip_bytes() {
+        std::size_t count = std::min(skipped_bytes_left_, input_->size());
+        skipped_bytes_left_ -= count;
+        input_->consume(count);
+    }
+
     bool read_command() {
+        if (skipped_bytes_left_ > 0) {
+            skip_bytes();
+            return true;
+        }
         pg::Message message;
         std::size_t length = 0;
         pg::Next next = pg::next_message(input_->view(), max_message_bytes_, message, length);
         if (next == pg::Next::more) {
+            long_message_bytes_ = length;
             if (length > kUsualMessageBytes) reserve_long_message(length);
             return false;
         }
@@ -353,6 +373,8 @@
     std::string user_, cached_peer_address_;
     std::size_t max_message_bytes_;
     std::size_t query_message_bytes_ = 0;  // of the query that is read
+    std::size_t long_message_bytes_ = 0;   // of the incomplete message at the front of `input_`
+    std::size_t skipped_bytes_left_ = 0;   // of a message that was rejected
     transport::Buffer* input_ = nullptr;   // owned by the connection
     Expects expects_ = Expects::startup;
     int declined_encryption_requests_ = 0;
--- a/src/adapters/session.cpp
+++ b/src/adapters/session.cpp
@@ -108,7 +108,8 @@
 }
 
 std::optional<routing::ClientHandover> Session::release() {
-    if (state_ != State::idle || connection_->unread().size() > kMaxUnreadHandedOver) return std::nullopt;
+    if (state_ != State::idle || is_skipping_message() || connection_->unread().size() > kMaxUnreadHandedOver)
+        return std::nullopt;
     routing::ClientHandover handover{-1, wire_state(), std::string(connection_->unread()), wire_note()};
     handover.socket = connection_->release();
     if (handover.socket < 0) return std::nullopt;
@@ -148,7 +149,8 @@
 // Whether the next message is left to the process to which the listener hands its sessions over. A session
 // that took it would be busy again at each moment in which sessions are handed over.
 bool Session::awaits_handover() const {
-    return client_listener_.is_handing_over() && connection_->unread().size() <= kMaxUnreadHandedOver;
+    return client_listener_.is_handing_over() && !is_skipping_message() &&
+           connection_->unread().size() <= kMaxUnreadHandedOver;
 }
 
 // Whether nothing more is read from this client and answered to it until it has read what it was sent.
--- a/src/adapters/session.hpp
+++ b/src/adapters/session.hpp
@@ -63,6 +63,8 @@
     std::chrono::steady_clock::time_point accepted_at;
     /// Whether the session has had a request.
     bool has_been_served = false;
+    /// Called when a message has waited too long for capacity: rejects its request and continues behind it.
+    virtual void on_capacity_timeout() {}
     /// Bytes that the listener has granted for a long message, beyond `Limits::unread_bytes`.
     std::size_t granted_bytes = 0;
     /// Continues to process what is unread: the listener may have capacity for a long message, or no longer
@@ -77,6 +79,8 @@
     virtual bool process_next_message(transport::Buffer& in) = 0;
     /// Whether the client has yet to send its first message. An idle client has no timeout after that.
     virtual bool is_awaiting_first_message() const { return !has_received_message_; }
+    /// Whether the rest of a message that was rejected is still to come. Such a session is not handed over.
+    virtual bool is_skipping_message() const { return false; }
     /// State of the wire protocol, for a handover.
     virtual char wire_state() const { return 0; }
     /// What a handover has to carry beside the state: at most 256 bytes.
