A host that left the list while its zone was lost is used when listed again

Cause: the site manager forgets a host that leaves the list, the registry's overlay kept it excluded, and nobody was left to end that. That discovery or the connection were at fault is excluded: no statement reaches a host that is listed and up. The new case of endpoint_registry_test fails without it.

--- a/src/routing/endpoint_overlays.cpp
+++ b/src/routing/endpoint_overlays.cpp
@@ -39,6 +39,11 @@
     if (started) overlay.readmitted = started;
 }
 
+void EndpointOverlays::end_site_exclusion(EndpointId endpoint) {
+    if (auto overlay = site_overlays_.find(endpoint); overlay != site_overlays_.end())
+        overlay->second.excluded = false;
+}
+
 policy::EndpointEntry EndpointOverlays::apply(EndpointId endpoint, const EndpointInfo& info,
                                               const Clock& clock) const {
     policy::EndpointEntry entry;
--- a/src/routing/endpoint_overlays.hpp
+++ b/src/routing/endpoint_overlays.hpp
@@ -29,6 +29,9 @@
     void exclude_by_site(EndpointId endpoint) { site_overlays_[endpoint].excluded = true; }
     // The endpoint counts as started at `started`; nullopt leaves its start unchanged.
     void readmit_by_site(EndpointId endpoint, std::optional<Time> started);
+    // The endpoint has left the list while its site excluded it, and is listed again. The site manager has
+    // forgotten that exclusion and excludes the endpoint again if its site is still lost.
+    void end_site_exclusion(EndpointId endpoint);
     // Forgets what sites have set for the endpoint.
     void forget(EndpointId endpoint) { site_overlays_.erase(endpoint); }
 
--- a/src/routing/endpoint_registry.cpp
+++ b/src/routing/endpoint_registry.cpp
@@ -1,5 +1,7 @@
 #include "routing/endpoint_registry.hpp"
 
+#include <utility>
+
 namespace indigovane::routing {
 
 using policy::EndpointEntry;
@@ -39,8 +41,8 @@
         if (info.address.empty()) endpoint->info.address = std::move(address);
         if (info.state == EndpointState::gone)
             delist(*endpoint);
-        else
-            endpoint->delisted_at.reset();
+        else if (std::exchange(endpoint->delisted_at, std::nullopt))
+            overlays_.end_site_exclusion(id);  // the site's state decides anew, as for a new endpoint
         list.entries.push_back(effective_entry(id, *endpoint));
     }
     if (kind != EndpointListKind::changes && kind != EndpointListKind::failed)
--- a/tests/routing/endpoint_registry_test.cpp
+++ b/tests/routing/endpoint_registry_test.cpp
@@ -54,6 +54,26 @@
     CHECK(endpoints.find(*endpoints.find_uid("b"))->accepts_requests);
 }
 
+// Guards against a site that was lost, left the list and came back, and was never used again: the site
+// manager forgets an endpoint that leaves the list, and the endpoint stayed excluded.
+TEST_CASE(
+    "registry: an endpoint that leaves the list while its site excludes it accepts requests when listed "
+    "again") {
+    RegistryFixture fixture;
+    EndpointRegistry& endpoints = fixture.endpoints;
+    endpoints.apply(EndpointListKind::full, {info("a"), info("b")});
+    const EndpointId a = *endpoints.find_uid("a");
+    REQUIRE(endpoints.exclude_by_site(a));
+    endpoints.apply(EndpointListKind::full, {info("a"), info("b")});
+    CHECK(!endpoints.find(a)->accepts_requests);  // it did not leave the list
+    endpoints.apply(EndpointListKind::full, {info("b")});
+    auto list = endpoints.apply(EndpointListKind::full, {info("a"), info("b")});
+    CHECK(endpoints.find_uid("a") == a);
+    CHECK(endpoints.find(a)->accepts_requests);
+    REQUIRE(list.entries.size() == 2);
+    CHECK(list.entries[0].state == EndpointState::ready);
+}
+
 TEST_CASE("registry: an endpoint keeps its address if a list entry has none") {
     RegistryFixture fixture;
     fixture.endpoints.apply(EndpointListKind::full, {info("a")});
