The first call to a discovery that is asked comes within 2.5 s in any fleet

Cause: EndpointListPoll::first_delay spread the first calls over 60 ms for each pooler of the fleet, without a bound (18.6 s for 310). Later calls come every 2.5 s. The new case of endpoint_list_poll_test fails without it.

--- a/src/policy/endpoint_list_poll.hpp
+++ b/src/policy/endpoint_list_poll.hpp
@@ -13,7 +13,11 @@
 /// The delays of one pooler's requests for the endpoint list.
 class EndpointListPoll {
   public:
-    /// Time from the start to the first request. Draws one random number.
+    /// The longest time from the start to the first request, whatever the fleet's size: a list that has to be
+    /// known some seconds after the start must be requested by then.
+    static constexpr Duration kMaxFirstDelay = std::chrono::milliseconds(2500);
+
+    /// Time from the start to the first request, at most kMaxFirstDelay. Draws one random number.
     static Duration first_delay(double fleet_size, Random& random);
 
     void record_request() { has_requested_ = true; }
--- a/tests/policy/endpoint_list_poll_test.cpp
+++ b/tests/policy/endpoint_list_poll_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 #include "policy/fixtures.hpp"
 
 using namespace indigovane::policy;
@@ -16,6 +18,19 @@
     }
 }
 
+// Guards against a first request that a large fleet's pooler makes only after it counts as told of a drain.
+TEST_CASE("the first list request comes within 2.5 s of the start in a fleet of any size") {
+    Random random(1);
+    for (double fleet_size : {1.0, 30.0, 300.0, 900.0}) {
+        Duration latest{};
+        for (int i = 0; i < 1000; ++i)
+            latest = std::max(latest, EndpointListPoll::first_delay(fleet_size, random));
+        CAPTURE(fleet_size);
+        CHECK(latest <= 2500ms);
+        if (fleet_size >= 300) CHECK(latest >= 2400ms);  // still spread over all of it
+    }
+}
+
 TEST_CASE("a failed list request is repeated after a backoff with jitter that doubles up to four seconds") {
     EndpointListPoll poll;
     Random random(1);
