Session reads whose client can't send a token go by the remembered one in either mode

Cause: Engine::session_token went by the setting alone; a request over REST carries no token. The new case of session_consistency_test fails without it.

--- a/src/adapters/pg_request.cpp
+++ b/src/adapters/pg_request.cpp
@@ -204,6 +204,7 @@
     // Without a session field the connection is the session: its reads see its own writes.
     if (request_class->is_write || request_class->has_session_consistency)
         request.session = session_number(statement.field("s").value_or(defaults.peer_address));
+    request.uses_remembered_token = request.session && !request.after_unix_ms;
     request.may_write = request_class->is_write;
     request.is_barred_from_reserve = is_read && !request_class->has_session_consistency;
     request.has_no_comment_fields = statement.fields.empty();
--- a/src/adapters/rest_front.cpp
+++ b/src/adapters/rest_front.cpp
@@ -146,7 +146,10 @@
         client_request.class_name = request_class->name;
         client_request.group = GroupId{*group};
         client_request.tenant = query_.tenant;
-        if (request_class->has_session_consistency) client_request.session = session_number(query_.session);
+        if (request_class->has_session_consistency) {
+            client_request.session = session_number(query_.session);
+            client_request.uses_remembered_token = true;  // no parameter carries one
+        }
         auto id = request.field("request-id");
         if (id && (id->empty() || id->size() > 64 || !is_plain_token(*id)))
             return invalid("Request-Id must be 1 to 64 letters, digits or - _ . :");
--- a/src/policy/engine_requests.cpp
+++ b/src/policy/engine_requests.cpp
@@ -90,12 +90,12 @@
     set_review_timer(request, request.answer_due());
 }
 
-/// The token that the client sent, or the one that is remembered now: the session may have written since this
-/// read was queued. Where endpoints do not check positions, a write of the session in flight may have been
-/// answered already; then the token is the present time.
+/// The token that the client sent, or, where clients send none or this one can't, the one that is remembered
+/// now: the session may have written since this read was queued. Where endpoints do not check positions, a
+/// write of the session in flight may have been answered already; then the token is the present time.
 Time Engine::session_token(const Request& request) const {
-    if (settings_.token_source.value_or(TokenSource::carried) == TokenSource::carried)
-        return request.carried_token;
+    bool is_carried = settings_.token_source.value_or(TokenSource::carried) == TokenSource::carried;
+    if (is_carried && !request.uses_remembered_token) return request.carried_token;
     bool may_be_unseen = !endpoints_check_staleness(settings_) && request.session &&
                          requests_.has_unresolved_write(*request.session);
     return may_be_unseen ? now_ : session_tokens_.token(request.session);
--- a/src/policy/events.hpp
+++ b/src/policy/events.hpp
@@ -61,6 +61,7 @@
     std::optional<Duration> since_last_write;  ///< session token sent by the client: the age of the session's
                                                ///< last commit; absent: no write
     bool is_retry = false;                     ///< the client marks this request as a retry of its own
+    bool uses_remembered_token = false;        ///< its client can't send a token: the remembered one counts
 };
 
 /// An attempt has ended.
--- a/src/policy/request_state.cpp
+++ b/src/policy/request_state.cpp
@@ -12,6 +12,7 @@
       max_attempts(attempt_limit),
       group(arrival.group),
       session(arrival.session),
+      uses_remembered_token(arrival.uses_remembered_token),
       is_client_retry(arrival.is_retry || elapsed > Duration::zero()),
       slow_start_draw(uniform_draw),
       arrived(now),
--- a/src/policy/request_state.hpp
+++ b/src/policy/request_state.hpp
@@ -59,8 +59,9 @@
     std::size_t max_attempts;
     GroupId group;
     std::optional<SessionKey> session;
-    Time carried_token{};    ///< position that a session read must see, if its client sent one
-    bool is_client_retry;    ///< the client sent a request before for the same purpose
+    Time carried_token{};                ///< position that a session read must see, if its client sent one
+    bool uses_remembered_token = false;  ///< its client can't send a token
+    bool is_client_retry;                ///< the client sent a request before for the same purpose
     double slow_start_draw;  ///< in [0, 1); slow start admits the request if it is below its share
     Time arrived;
     Time deadline;           ///< when the client gives up
--- a/src/routing/attempt_outcomes.cpp
+++ b/src/routing/attempt_outcomes.cpp
@@ -113,9 +113,10 @@
 // A read may wait for a connection while a write of its session is answered. The position that the policy
 // required when it chose the endpoint is then too old when the read is sent.
 void AttemptOutcomes::raise_session_position(std::uint64_t session, std::int64_t commit_unix_ms) {
-    if (core_.settings.token_source != policy::TokenSource::remembered) return;
+    bool is_remembered = core_.settings.token_source == policy::TokenSource::remembered;
     for (auto& [id, pending] : core_.requests)
-        if (pending.responder && pending.request.session == session && !pending.request.writes())
+        if (pending.responder && pending.request.session == session && !pending.request.writes() &&
+            (is_remembered || pending.request.uses_remembered_token))
             pending.newer_commit_unix_ms = std::max(pending.newer_commit_unix_ms.value_or(0), commit_unix_ms);
 }
 
--- a/src/routing/core.cpp
+++ b/src/routing/core.cpp
@@ -60,6 +60,7 @@
     if (request.after_unix_ms)
         arrival.since_last_write =
             std::max(Duration(1), now - clock_.from_unix(*request.after_unix_ms * kMicrosPerMilli));
+    arrival.uses_remembered_token = request.uses_remembered_token;
     arrival.is_retry = request.is_retry;
     RetryRule rule = RetryRule::of(settings_, request.request_class);
     arrival.id = requests_.add(std::move(request), responder, rule, now);
--- a/src/routing/types.hpp
+++ b/src/routing/types.hpp
@@ -74,6 +74,9 @@
     std::optional<std::uint64_t> session;
     // The session token that the client sent with the request: the time of its session's last commit.
     std::optional<std::int64_t> after_unix_ms;
+    // The client has no way to send a session token. Its reads see what was written through this pooler, also
+    // where other clients send tokens.
+    bool uses_remembered_token = false;
     Duration client_timeout{};       // from the request's arrival until the client gives up
     bool is_retry = false;           // the client marks the request as a retry
     bool may_stream_answer = false;  // the responder accepts a long value in pieces, as it arrives
--- a/tests/adapters/session_consistency_test.cpp
+++ b/tests/adapters/session_consistency_test.cpp
@@ -4,6 +4,8 @@
 #include <variant>
 #include <vector>
 
+#include "adapters/pending_admission.hpp"
+#include "adapters/raw_client.hpp"
 #include "policy/routing_policy.hpp"
 #include "support/harness.hpp"
 
@@ -191,6 +193,52 @@
     }
 }
 
+// Guards against stale pages over REST where the sessions of other clients carry their commits.
+TEST_CASE("policy: where clients carry tokens, a read whose client can't sees its session's last commit") {
+    using policy::EndpointId, policy::AttemptStatus;
+    auto policy_settings = settings();
+    policy_settings.token_source = policy::TokenSource::carried;
+    policy_settings.staleness_check = policy::StalenessCheck::none;
+    PolicyFixture fixture(policy_settings);
+    fixture.report_lag(5ms);
+    fixture.request(1, 2);
+    fixture.now += 10ms;
+    fixture.finish(1, 1, AttemptStatus::ok, 0, fixture.now);
+    fixture.now += 300ms;
+    fixture.report_lag(1500ms);  // the replica has fallen behind the commit
+    policy::RequestArrival read;
+    read.request_class = policy::ClassId{1};
+    read.group = policy::GroupId{1};
+    read.client_timeout = 3s;
+    read.session = policy::SessionKey{1};
+    read.id = policy::RequestId{2};
+    fixture.run(read);  // its client can carry a token and carries none: it has written nothing
+    REQUIRE(fixture.sent());
+    CHECK(fixture.sent()->endpoint == EndpointId{2});
+    read.id = policy::RequestId{3};
+    read.uses_remembered_token = true;
+    fixture.run(read);
+    REQUIRE(fixture.sent());
+    CHECK(fixture.sent()->endpoint == EndpointId{1});
+    read.id = policy::RequestId{4};
+    read.session = policy::SessionKey{2};  // it has written nothing
+    fixture.run(read);
+    REQUIRE(fixture.sent());
+    CHECK(fixture.sent()->endpoint == EndpointId{2});
+}
+
+TEST_CASE("the requests of clients that can't send a session token say so") {
+    PendingFronts fixture;
+    RawClient reader(fixture.loop, fixture.rest.local());
+    reader.send(http::write_request("GET", "/v1/clusters/1/kv?class=own-order&session=s", "h", {}));
+    REQUIRE(fixture.wait_for_requests(1));
+    CHECK(fixture.admission.requests[0].uses_remembered_token);
+    RawClient client(fixture.loop, fixture.pg.local());
+    client.send(startup() + query("1", 4000, "own-order"));
+    REQUIRE(fixture.wait_for_requests(2));
+    CHECK_FALSE(fixture.admission.requests[1].uses_remembered_token);
+}
+
 TEST_CASE("policy: a queued read sees the writes that its session makes meanwhile") {
     using policy::EndpointId, policy::AttemptStatus;
     for (bool writes : {false, true}) {
