--- a/src/adapters/client_listener.cpp
+++ b/src/adapters/client_listener.cpp
@@ -181,8 +181,8 @@
     if (std::exchange(is_capacity_timer_set_, true)) return;
     capacity_timer_.expires_after(kMaxCapacityWait / 6);
     capacity_timer_.async_wait([this](const transport::error_code& ec) {
+        if (ec) return;  // the listener may be gone
         is_capacity_timer_set_ = false;
-        if (ec) return;
         end_capacity_waits();
         if (!waiting_for_capacity_.empty()) schedule_capacity_timeout();
     });
--- a/src/adapters/pg_front.cpp
+++ b/src/adapters/pg_front.cpp
@@ -40,6 +40,7 @@
 
     bool process_next_message(transport::Buffer& in) override {
         input_ = &in;
+        if (skipped_bytes_left_ > 0) return skip_bytes();
         return expects_ == Expects::startup ? read_startup() : read_command();
     }
 
@@ -110,17 +111,14 @@
         resume_reading();
     }
     bool is_skipping_message() const override { return skipped_bytes_left_ > 0; }
-    void skip_bytes() {
+    bool skip_bytes() {
         std::size_t count = std::min(skipped_bytes_left_, input_->size());
         skipped_bytes_left_ -= count;
         input_->consume(count);
+        return true;
     }
 
     bool read_command() {
-        if (skipped_bytes_left_ > 0) {
-            skip_bytes();
-            return true;
-        }
         pg::Message message;
         std::size_t length = 0;
         pg::Next next = pg::next_message(input_->view(), max_message_bytes_, message, length);
